--- /dev/null
+++ b/src/api/index.ts
@@ -0,0 +1,5 @@
+/** Public API: the interfaces that plug-ins are typed against. */
+export * from '../common/base/index.js';
+export { Registry } from '../common/kernel/Registry.js';
+export type * from '../common/services/Types.js';
+export type * from '../common/configuration/Types.js';
--- /dev/null
+++ b/src/bench/FakeTarget.ts
@@ -0,0 +1,105 @@
+import type { Clock, Disposable, OutcomeKind, RandomSource } from '../api/index.js';
+
+/** Fault of a fake target. Faults combine. */
+export interface Fault {
+  /** Factor on the service time; 1 is healthy. */
+  readonly slowness: number;
+  /** Share of requests that fail at once with `failure`. */
+  readonly failureShare: number;
+  readonly failure: OutcomeKind;
+  /** Never answers; the caller's timeout ends the request. */
+  readonly isSilent: boolean;
+}
+
+/** No fault. */
+export const healthy: Fault = {
+  slowness: 1,
+  failureShare: 0,
+  failure: 'server-error',
+  isSilent: false,
+};
+
+/** Answer of a fake target to one request. */
+export interface FakeAnswer {
+  readonly kind: OutcomeKind;
+  /** Milliseconds from arrival to answer. */
+  readonly latency: number;
+}
+
+interface Job {
+  readonly work: number;
+  readonly arrived: number;
+  readonly done: (answer: FakeAnswer) => void;
+  isEnded: boolean;
+  timer?: Disposable;
+}
+
+/** Target on a virtual clock: runs `slots` requests at a time and queues the rest in order of arrival. */
+export class FakeTarget {
+  public fault: Fault = healthy;
+
+  private readonly waiting: Job[] = [];
+
+  private runningCount = 0;
+
+  public constructor(
+    public readonly id: string,
+    public readonly slots: number,
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+  ) {}
+
+  /** Requests that hold a slot. */
+  public get running(): number {
+    return this.runningCount;
+  }
+
+  /** Requests that wait inside the target. */
+  public get queued(): number {
+    return this.waiting.length;
+  }
+
+  /** Starts a request that needs `work` milliseconds of a slot; disposing the result cancels it. */
+  public submit(work: number, done: (answer: FakeAnswer) => void): Disposable {
+    const job: Job = { work, arrived: this.clock.elapsed(), done, isEnded: false };
+    this.waiting.push(job);
+    this.startNext();
+    return { dispose: () => this.cancel(job) };
+  }
+
+  private startNext(): void {
+    while (this.runningCount < this.slots) {
+      const job = this.waiting.shift();
+      if (job === undefined) return;
+      this.runningCount += 1;
+      this.run(job);
+    }
+  }
+
+  private run(job: Job): void {
+    if (this.fault.isSilent) return;
+    const isFailing = this.random() < this.fault.failureShare;
+    const duration = isFailing ? 1 : job.work * this.fault.slowness;
+    job.timer = this.clock.after(duration, () => {
+      this.release(job);
+      const latency = this.clock.elapsed() - job.arrived;
+      job.done({ kind: isFailing ? this.fault.failure : 'success', latency });
+    });
+  }
+
+  private release(job: Job): void {
+    job.isEnded = true;
+    this.runningCount -= 1;
+    this.startNext();
+  }
+
+  private cancel(job: Job): void {
+    if (job.isEnded) return;
+    job.timer?.dispose();
+    const index = this.waiting.indexOf(job);
+    if (index >= 0) {
+      job.isEnded = true;
+      this.waiting.splice(index, 1);
+    } else this.release(job);
+  }
+}
--- /dev/null
+++ b/src/bench/scenarios.ts
@@ -0,0 +1,4 @@
+import type { Scenario } from './Types.js';
+
+/** All scenarios, in the order of the report. */
+export const scenarios: readonly Scenario[] = [];
--- /dev/null
+++ b/src/common/base/index.ts
@@ -0,0 +1,6 @@
+export * from './DisposableStore.js';
+export * from './Emitter.js';
+export * from './Errors.js';
+export * from './Ids.js';
+export * from './Types.js';
+export * from './VirtualClock.js';
