Data path of the daemon and the fake target, not yet wired

Adds the HTTP front with request checks, the forwarder of the entry, the home with connections to targets, the peer protocol over gRPC, logs and metrics, and the fake target with its faults.

--- /dev/null
+++ b/src/common/kernel/ExtensionPoints.ts
@@ -0,0 +1,8 @@
+import type { LogLevel, LogSink } from '../base/index.js';
+import { Registry } from './Registry.js';
+
+/** Creates a log sink that drops lines below a level. */
+export type LogSinkFactory = (level: LogLevel) => LogSink;
+
+/** Log sinks by name. */
+export const logSinks = new Registry<LogSinkFactory>('log sink');
--- /dev/null
+++ b/src/daemon/AdminServer.ts
@@ -0,0 +1,54 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { once } from 'node:events';
+import type { Disposable } from '../api/index.js';
+import { sendText } from './Responses.js';
+
+/** Handles one path of the admin endpoint. */
+export type AdminHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  url: URL,
+) => Promise<void>;
+
+/** HTTP server for operators and for the announcements of targets. Handlers are found by method and path prefix. */
+export class AdminServer implements Disposable {
+  private readonly handlers: {
+    readonly method: string;
+    readonly prefix: string;
+    readonly handler: AdminHandler;
+  }[] = [];
+
+  private readonly server: Server = createServer((request, response) => {
+    this.handle(request, response).catch((error: Error) => {
+      sendText(response, 500, error.message);
+    });
+  });
+
+  /** Adds a handler; the first one that fits is called. */
+  public on(method: string, prefix: string, handler: AdminHandler): void {
+    this.handlers.push({ method, prefix, handler });
+  }
+
+  /** Binds to `host:port` and returns the port. */
+  public async listen(address: string): Promise<number> {
+    const [host = '', port = ''] = address.split(/:(?=\d+$)/);
+    this.server.listen(Number(port), host);
+    await once(this.server, 'listening');
+    const bound = this.server.address();
+    return typeof bound === 'object' && bound !== null ? bound.port : Number(port);
+  }
+
+  public dispose(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://admin');
+    const found = this.handlers.find(
+      ({ method, prefix }) => method === request.method && url.pathname.startsWith(prefix),
+    );
+    if (found === undefined) sendText(response, 404, 'no such path');
+    else await found.handler(request, response, url);
+  }
+}
--- /dev/null
+++ b/src/daemon/Forwarder.ts
@@ -0,0 +1,204 @@
+import { Readable } from 'node:stream';
+import { isLeft } from 'fp-ts/lib/Either.js';
+import {
+  FleetError,
+  NotRunError,
+  OutcomeUnknownError,
+  type Clock,
+  type DaemonId,
+  type LogSink,
+  type RequestContext,
+  type ServiceName,
+  type TargetId,
+} from '../api/index.js';
+import type { Selector } from '../common/selection/Selector.js';
+import type { Choice, LoadRecorder } from '../common/selection/Types.js';
+import type { Directory, ForwardAnswer, HeaderPair, Home } from './Types.js';
+
+/** Request of a caller after routing. */
+export interface RoutedRequest {
+  readonly context: RequestContext;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly HeaderPair[];
+  /** A buffer can be sent again, a stream cannot. */
+  readonly body?: Buffer | Readable;
+}
+
+/** Decides whether one more attempt may be made. */
+export interface RetryAllowance {
+  /** Counts a request of a caller. */
+  recordRequest(service: ServiceName): void;
+  /** Takes one retry from the budget; false if there is none left. */
+  takeRetry(service: ServiceName): boolean;
+}
+
+/** What a forwarder depends on. */
+export interface ForwarderSettings {
+  readonly clock: Clock;
+  readonly directory: Directory;
+  readonly selector: Selector;
+  readonly loads: LoadRecorder;
+  readonly retries: RetryAllowance;
+  readonly log: LogSink;
+  /** Home with this id: the local one or a client of a peer. */
+  readonly homeOf: (daemon: DaemonId) => Home;
+  /** Tells how the path to a home did: milliseconds that the hop added, or undefined if it failed. */
+  readonly onPath?: (daemon: DaemonId, added: number | undefined) => void;
+}
+
+const maxAttempts = 3;
+/** Share of the remaining time that an attempt may use when another attempt can follow. */
+const attemptShare = 0.6;
+const firstServerError = 500;
+
+/** Result of one attempt. */
+type Attempt =
+  | { readonly answer: ForwardAnswer; readonly target: TargetId }
+  | { readonly error: FleetError; readonly target?: TargetId };
+
+function toFleetError(error: unknown): FleetError {
+  if (error instanceof FleetError) return error;
+  const message = error instanceof Error ? error.message : String(error);
+  return new OutcomeUnknownError(message, { step: 'forward', cause: error });
+}
+
+/** Entry side of forwarding: chooses a target, sends the request to its home, retries what may be retried. */
+export class Forwarder {
+  public constructor(private readonly settings: ForwarderSettings) {}
+
+  /**
+   * Forwards a request until there is an answer. Throws `NotRunError` if no attempt reached a target
+   * and `OutcomeUnknownError` if one may have run without an answer.
+   */
+  public async forward(request: RoutedRequest, signal: AbortSignal): Promise<ForwardAnswer> {
+    const { context } = request;
+    const avoid = new Set<TargetId>();
+    const started = this.settings.clock.elapsed();
+    this.settings.retries.recordRequest(context.service);
+    let unknown: FleetError | undefined;
+    for (let count = 1; ; count += 1) {
+      const left = context.timeout - (this.settings.clock.elapsed() - started);
+      const attempt = await this.attempt(request, avoid, left, signal);
+      if ('error' in attempt && !(attempt.error instanceof NotRunError)) unknown = attempt.error;
+      if (!this.mayRetry(request, attempt, count, started, signal)) {
+        if ('answer' in attempt) return attempt.answer;
+        // A refusal of the last attempt must not hide that an earlier one may have run.
+        throw unknown ?? attempt.error;
+      }
+      if ('answer' in attempt) attempt.answer.body.destroy();
+      if (attempt.target !== undefined) avoid.add(attempt.target);
+    }
+  }
+
+  private mayRetry(
+    request: RoutedRequest,
+    attempt: Attempt,
+    count: number,
+    started: number,
+    signal: AbortSignal,
+  ): boolean {
+    const { context } = request;
+    const isOver = this.settings.clock.elapsed() - started >= context.timeout;
+    if (isOver || signal.aborted || count >= maxAttempts || attempt.target === undefined) {
+      return false;
+    }
+    if (!Forwarder.isRepeatable(request, attempt)) return false;
+    return this.settings.retries.takeRetry(context.service);
+  }
+
+  private static isRepeatable(request: RoutedRequest, attempt: Attempt): boolean {
+    if (request.body instanceof Readable) return false;
+    if ('answer' in attempt) {
+      return request.context.isIdempotent && attempt.answer.status >= firstServerError;
+    }
+    return attempt.error instanceof NotRunError || request.context.isIdempotent;
+  }
+
+  private async attempt(
+    request: RoutedRequest,
+    avoid: ReadonlySet<TargetId>,
+    left: number,
+    signal: AbortSignal,
+  ): Promise<Attempt> {
+    const { context } = request;
+    const candidates = this.settings.directory.candidates(context.service);
+    const chosen = this.settings.selector.choose(
+      { context, avoid },
+      candidates,
+      this.settings.loads,
+    );
+    if (isLeft(chosen)) {
+      const { reason, message } = chosen.left;
+      return { error: new NotRunError(reason, message, { step: 'entry.select' }) };
+    }
+    return this.send(request, chosen.right, Math.max(1, left), signal);
+  }
+
+  private async send(
+    request: RoutedRequest,
+    choice: Choice,
+    left: number,
+    signal: AbortSignal,
+  ): Promise<Attempt> {
+    const { target } = choice;
+    const { loads } = this.settings;
+    const canRepeat = request.context.isIdempotent && !(request.body instanceof Readable);
+    const timeout = canRepeat ? left * attemptShare : left;
+    const abort = new AbortController();
+    const cancel = (): void => abort.abort();
+    const timer = this.settings.clock.after(timeout, cancel);
+    signal.addEventListener('abort', cancel, { once: true });
+    loads.sent(target.id);
+    try {
+      const answer = await this.settings.homeOf(target.home).forward(
+        {
+          context: { ...request.context, timeout },
+          target: target.id,
+          targetIncarnation: target.incarnation,
+          method: request.method,
+          path: request.path,
+          headers: request.headers,
+          body: Buffer.isBuffer(request.body) ? Readable.from([request.body]) : request.body,
+        },
+        abort.signal,
+      );
+      answer.body.once('close', () => {
+        loads.ended(target.id, answer.load);
+        signal.removeEventListener('abort', cancel);
+      });
+      this.logChoice(request, choice, `answered ${answer.status}`);
+      return { answer, target: target.id };
+    } catch (cause) {
+      loads.ended(target.id);
+      signal.removeEventListener('abort', cancel);
+      const error = toFleetError(cause);
+      this.logChoice(request, choice, error.message);
+      return { error, target: target.id };
+    } finally {
+      timer.dispose();
+    }
+  }
+
+  private logChoice(request: RoutedRequest, choice: Choice, result: string): void {
+    const { id, service, workClass, route } = request.context;
+    this.settings.log.write({
+      level: 'info',
+      kind: 'route',
+      message: result,
+      fields: {
+        step: 'entry.select',
+        request: id,
+        service,
+        route,
+        class: workClass,
+        target: choice.target.id,
+        home: choice.target.home,
+        candidates: choice.candidates,
+        locality: choice.locality,
+        expectedWait: Math.round(choice.expectedWait),
+        reason: choice.reason,
+      },
+    });
+  }
+}
--- /dev/null
+++ b/src/daemon/HttpFront.ts
@@ -0,0 +1,305 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { pipeline } from 'node:stream/promises';
+import type { Readable } from 'node:stream';
+import { once } from 'node:events';
+import * as E from 'fp-ts/lib/Either.js';
+import * as O from 'fp-ts/lib/Option.js';
+import {
+  brandAs,
+  FleetError,
+  NotRunError,
+  type AccountId,
+  type Clock,
+  type Disposable,
+  type LogSink,
+  type OperationKey,
+  type RequestContext,
+  type RequestId,
+  type RouteDocument,
+} from '../api/index.js';
+import { isIdempotent, type RouteTable } from '../common/routing/RouteTable.js';
+import type { Forwarder, RoutedRequest } from './Forwarder.js';
+import { createAnswerHeaders, createRequestHeaders, findHeader, pairHeaders } from './Headers.js';
+import { timeoutHeader } from './Headers.js';
+import { checkRequest, maxBufferedBody, type CheckedRequest } from './RequestCheck.js';
+import { createResumedBody } from './ResumedBody.js';
+import { sendFailure, sendText } from './Responses.js';
+import type { ForwardAnswer, HeaderPair } from './Types.js';
+
+const maxHeaderSize = 16 * 1024;
+const headersTimeout = 10_000;
+/** Idle connections are closed after this many milliseconds. */
+const keepAliveTimeout = 15_000;
+/** A stopping daemon closes idle connections after this many milliseconds, so that late requests are still served. */
+const closeLinger = 2_000;
+const accountHeader = 'limpettrack-account';
+const keyHeader = 'idempotency-key';
+const internalPrefix = '/.limpettrack/';
+
+/** Answer of a non-idempotent operation. */
+export type OperationRunner = (
+  request: RoutedRequest & { readonly body?: Buffer },
+  signal: AbortSignal,
+) => Promise<ForwardAnswer>;
+
+/** Handles a path below `/.limpettrack/`; false if it does not know the path. */
+export type InternalHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  path: string,
+) => Promise<boolean>;
+
+/** One finished request, for metrics. */
+export interface FinishedRequest {
+  readonly context: RequestContext;
+  readonly status: number;
+  /** Milliseconds from the head of the request to the end of the answer. */
+  readonly duration: number;
+  readonly error?: unknown;
+}
+
+/** What the front depends on. */
+export interface HttpFrontSettings {
+  readonly clock: Clock;
+  readonly log: LogSink;
+  readonly routes: () => RouteTable;
+  readonly forwarder: Pick<Forwarder, 'forward'>;
+  readonly runOperation: OperationRunner;
+  readonly internal: InternalHandler;
+  /** Throws `NotRunError` if a limit of the service or the account is reached. */
+  readonly checkLimits: (context: RequestContext) => void;
+  /** Timeout in milliseconds for a route. */
+  readonly timeoutOf: (route: RouteDocument) => number;
+  readonly createId: () => RequestId;
+  readonly onFinished: (request: FinishedRequest) => void;
+}
+
+const parserErrors: Readonly<Record<string, readonly [number, string]>> = {
+  HPE_HEADER_OVERFLOW: [431, 'Request Header Fields Too Large'],
+  ERR_HTTP_REQUEST_TIMEOUT: [408, 'Request Timeout'],
+};
+
+async function readWhole(stream: Readable, limit: number): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of stream) {
+    size += (chunk as Buffer).length;
+    if (size > limit) throw new RangeError(`body over ${limit} bytes`);
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks);
+}
+
+/** Accepts callers' HTTP/1.1 requests and answers them. */
+export class HttpFront implements Disposable {
+  private readonly server: Server;
+
+  private isDraining = false;
+
+  private active = 0;
+
+  public constructor(private readonly settings: HttpFrontSettings) {
+    this.server = createServer(
+      { maxHeaderSize, headersTimeout, keepAliveTimeout, requestTimeout: 0, insecureHTTPParser: false },
+      (request, response) => {
+        void this.handle(request, response);
+      },
+    );
+    // The parser would silently drop headers above its own limit; RequestCheck refuses them instead.
+    this.server.maxHeadersCount = 0;
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      HttpFront.refuseMalformed(error, socket as Socket);
+    });
+  }
+
+  /** Requests that have not been answered yet. */
+  public get running(): number {
+    return this.active;
+  }
+
+  /** Binds to `host:port` and returns the port. */
+  public async listen(address: string): Promise<number> {
+    const [host = '', port = ''] = address.split(/:(?=\d+$)/);
+    this.server.listen(Number(port), host);
+    await once(this.server, 'listening');
+    const bound = this.server.address();
+    return typeof bound === 'object' && bound !== null ? bound.port : Number(port);
+  }
+
+  /** Fails readiness and closes each connection after its next answer. */
+  public announceStop(): void {
+    this.isDraining = true;
+  }
+
+  /** Stops accepting and resolves when every request in flight has been answered. */
+  public async drain(): Promise<void> {
+    this.announceStop();
+    const closed = once(this.server, 'close');
+    this.server.close();
+    const timer = setInterval(() => this.server.closeIdleConnections(), closeLinger);
+    await closed;
+    clearInterval(timer);
+  }
+
+  public dispose(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private static refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const [status, text] = parserErrors[error.code ?? ''] ?? [400, 'Bad Request'];
+    const head = `HTTP/1.1 ${status} ${text}\r\nconnection: close\r\ncontent-length: 0\r\n`;
+    socket.end(`${head}limpettrack-outcome: not-run\r\n\r\n`);
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.active += 1;
+    response.once('close', () => {
+      this.active -= 1;
+    });
+    if (this.isDraining) response.setHeader('connection', 'close');
+    const headers = pairHeaders(request.rawHeaders);
+    const checked = checkRequest(request, headers);
+    if (E.isLeft(checked)) {
+      response.setHeader('connection', 'close');
+      sendText(response, checked.left.status, checked.left.message, {
+        'limpettrack-outcome': 'not-run',
+      });
+      return;
+    }
+    try {
+      if (!(await this.handleInternal(request, response, checked.right))) {
+        await this.handleProxied(request, response, headers, checked.right);
+      }
+    } catch (error) {
+      sendFailure(response, error);
+    }
+  }
+
+  private async handleInternal(
+    request: IncomingMessage,
+    response: ServerResponse,
+    { path }: CheckedRequest,
+  ): Promise<boolean> {
+    if (!path.startsWith(internalPrefix)) return false;
+    if (path === `${internalPrefix}ready`) {
+      sendText(response, this.isDraining ? 503 : 200, this.isDraining ? 'stopping' : 'ready');
+      return true;
+    }
+    if (!(await this.settings.internal(request, response, path))) {
+      sendText(response, 404, 'no such path');
+    }
+    return true;
+  }
+
+  private async handleProxied(
+    request: IncomingMessage,
+    response: ServerResponse,
+    headers: readonly HeaderPair[],
+    checked: CheckedRequest,
+  ): Promise<void> {
+    const started = this.settings.clock.elapsed();
+    const context = this.createContext(request, headers, checked);
+    const abort = new AbortController();
+    response.once('close', () => abort.abort());
+    let failure: unknown;
+    try {
+      this.settings.checkLimits(context);
+      const routed = await this.createRouted(request, headers, checked, context);
+      await this.answer(response, routed, abort.signal);
+    } catch (error) {
+      failure = error;
+      this.fail(response, context, error);
+    }
+    const duration = this.settings.clock.elapsed() - started;
+    this.settings.onFinished({ context, status: response.statusCode, duration, error: failure });
+  }
+
+  private createContext(
+    request: IncomingMessage,
+    headers: readonly HeaderPair[],
+    { host, path }: CheckedRequest,
+  ): RequestContext {
+    const method = request.method ?? 'GET';
+    const query = { method, host: host.replace(/:\d+$/, ''), path: path.split('?', 1)[0] ?? '/' };
+    const route = O.toUndefined(this.settings.routes().find(query));
+    if (route === undefined) {
+      throw new NotRunError('no-route', 'no route for this host and path', { step: 'entry.route' });
+    }
+    const account = findHeader(headers, accountHeader);
+    const key = findHeader(headers, keyHeader);
+    return {
+      id: this.settings.createId(),
+      service: route.service,
+      route: route.name,
+      workClass: route.workClass,
+      isIdempotent: isIdempotent(route, method),
+      account: account === undefined ? undefined : brandAs<AccountId>(account),
+      key: key === undefined ? undefined : brandAs<OperationKey>(key),
+      timeout: this.timeoutFor(route, headers),
+    };
+  }
+
+  private timeoutFor(route: RouteDocument, headers: readonly HeaderPair[]): number {
+    const longest = this.settings.timeoutOf(route);
+    const wanted = Number(findHeader(headers, timeoutHeader) ?? longest);
+    return Number.isFinite(wanted) && wanted > 0 ? Math.min(wanted, longest) : longest;
+  }
+
+  private async createRouted(
+    request: IncomingMessage,
+    headers: readonly HeaderPair[],
+    { host, path, length }: CheckedRequest,
+    context: RequestContext,
+  ): Promise<RoutedRequest> {
+    const remote = request.socket.remoteAddress ?? 'unknown';
+    const forwarded = createRequestHeaders(headers, remote, host, context.id);
+    const routed = { context, method: request.method ?? 'GET', path, headers: forwarded };
+    if (length === 0) return routed;
+    const mustBuffer = length === undefined || !context.isIdempotent || length <= maxBufferedBody;
+    if (!mustBuffer) return { ...routed, body: request };
+    const body = await readWhole(request, maxBufferedBody);
+    const withoutLength = forwarded.filter(([name]) => name.toLowerCase() !== 'content-length');
+    return { ...routed, headers: [...withoutLength, ['content-length', String(body.length)]], body };
+  }
+
+  private async answer(
+    response: ServerResponse,
+    routed: RoutedRequest,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { forwarder, runOperation } = this.settings;
+    const { isIdempotent: canRepeat } = routed.context;
+    const answer = canRepeat
+      ? await forwarder.forward(routed, signal)
+      : await runOperation(routed as Parameters<OperationRunner>[0], signal);
+    const resume = (extra: readonly HeaderPair[]): Promise<ForwardAnswer> =>
+      forwarder.forward({ ...routed, headers: [...routed.headers, ...extra] }, signal);
+    const body = routed.method === 'GET' ? createResumedBody(answer, resume) : answer.body;
+    response.writeHead(answer.status, createAnswerHeaders(answer.headers).flat() as string[]);
+    // A cut body breaks the caller's connection, so that it is never taken for a whole one.
+    await pipeline(body, response);
+  }
+
+  private fail(response: ServerResponse, context: RequestContext, error: unknown): void {
+    if (error instanceof RangeError) {
+      response.setHeader('connection', 'close');
+      sendText(response, 413, error.message, { 'limpettrack-outcome': 'not-run' });
+      return;
+    }
+    const outcome = sendFailure(response, error);
+    const { id, service, route, workClass } = context;
+    const origin = error instanceof FleetError ? { step: error.step, peer: error.peer } : {};
+    this.settings.log.write({
+      level: 'warn',
+      kind: 'refusal',
+      message: error instanceof Error ? error.message : String(error),
+      fields: { request: id, service, route, class: workClass, outcome, ...origin },
+    });
+  }
+}
--- /dev/null
+++ b/src/daemon/LocalHome.ts
@@ -0,0 +1,199 @@
+import { PassThrough, pipeline, type Readable } from 'node:stream';
+import {
+  brandAs,
+  Emitter,
+  NotRunError,
+  type Clock,
+  type Disposable,
+  type Incarnation,
+  type OutcomeKind,
+  type ServiceName,
+  type TargetAnnouncement,
+  type TargetId,
+  type TargetLoad,
+  type TargetOutcome,
+} from '../api/index.js';
+import { isLeft } from 'fp-ts/lib/Either.js';
+import { CostModel } from '../common/admission/CostModel.js';
+import { Gate } from '../common/admission/Gate.js';
+import type { Permit } from '../common/admission/Types.js';
+import { TargetClient, type TargetAnswer, type TargetFailure } from './TargetClient.js';
+import type { ForwardAnswer, ForwardRequest, Home } from './Types.js';
+
+/** Target that has announced itself to this daemon. */
+interface HostedTarget extends Disposable {
+  readonly announcement: TargetAnnouncement;
+  readonly client: TargetClient;
+  readonly gate: Gate;
+}
+
+/** Outcome of one request with the target and incarnation that it belongs to. */
+export interface OutcomeEvent {
+  readonly target: TargetId;
+  readonly incarnation: Incarnation;
+  readonly request: ForwardRequest;
+  readonly outcome: TargetOutcome;
+}
+
+const firstServerError = 500;
+const shedStatuses: ReadonlySet<number> = new Set([429, 503]);
+
+function outcomeOfStatus(status: number): OutcomeKind {
+  if (shedStatuses.has(status)) return 'shed';
+  return status >= firstServerError ? 'server-error' : 'success';
+}
+
+function isFailure(error: unknown): error is TargetFailure {
+  return typeof error === 'object' && error !== null && 'kind' in error && 'error' in error;
+}
+
+/** Home of the targets that announced themselves here: admits work and sends it to them. */
+export class LocalHome implements Home, Disposable {
+  private readonly targets = new Map<TargetId, HostedTarget>();
+
+  private readonly outcomeEmitter = new Emitter<OutcomeEvent>();
+
+  private readonly startEmitter = new Emitter<ForwardRequest>();
+
+  /** Fires when a request at a target has ended. */
+  public readonly onOutcome = this.outcomeEmitter.event;
+
+  /** Fires just before a request is sent to a target. */
+  public readonly onStart = this.startEmitter.event;
+
+  /** Costs are learned for each service, since targets of a service run the same routes. */
+  private readonly costs = new Map<ServiceName, CostModel>();
+
+  public constructor(
+    private readonly clock: Clock,
+    private readonly maxQueueOf: (service: ServiceName) => number,
+  ) {}
+
+  /** Adds a target or updates it; a new incarnation or address gets new connections and a new queue. */
+  public announce(announcement: TargetAnnouncement): void {
+    const known = this.targets.get(announcement.id);
+    const isSame =
+      known?.announcement.incarnation === announcement.incarnation &&
+      known.announcement.address === announcement.address &&
+      known.announcement.slots === announcement.slots;
+    if (known !== undefined && isSame) {
+      this.targets.set(announcement.id, { ...known, announcement });
+    } else {
+      this.targets.set(announcement.id, this.createTarget(announcement));
+      known?.dispose();
+    }
+    if (announcement.state === 'draining') this.targets.get(announcement.id)?.gate.drain();
+  }
+
+  /** Removes a target that has left; its waiting requests are refused as not run. */
+  public remove(id: TargetId): void {
+    this.targets.get(id)?.dispose();
+    this.targets.delete(id);
+  }
+
+  /** Present load of a target; undefined if it is not hosted here. */
+  public loadOf(id: TargetId): TargetLoad | undefined {
+    return this.targets.get(id)?.gate.load;
+  }
+
+  public async forward(request: ForwardRequest, signal: AbortSignal): Promise<ForwardAnswer> {
+    const started = this.clock.elapsed();
+    const target = this.find(request);
+    const permit = await this.admit(target, request, signal);
+    const timeout = request.context.timeout - (this.clock.elapsed() - started);
+    this.startEmitter.fire(request);
+    const sent = this.clock.elapsed();
+    try {
+      const answer = await target.client.send(request, Math.max(1, timeout), signal);
+      return this.createAnswer(request, target, permit, answer, sent);
+    } catch (failure) {
+      if (!isFailure(failure)) throw failure;
+      this.finish(request, target, permit, failure.kind, sent);
+      throw failure.error;
+    }
+  }
+
+  public dispose(): void {
+    this.targets.forEach((target) => target.dispose());
+    this.targets.clear();
+    this.outcomeEmitter.dispose();
+    this.startEmitter.dispose();
+  }
+
+  private find(request: ForwardRequest): HostedTarget {
+    const target = this.targets.get(request.target);
+    if (target?.announcement.incarnation !== request.targetIncarnation) {
+      const peer = request.target;
+      throw new NotRunError('not-home', 'the target is not here', { step: 'home.find', peer });
+    }
+    return target;
+  }
+
+  private async admit(
+    target: HostedTarget,
+    request: ForwardRequest,
+    signal: AbortSignal,
+  ): Promise<Permit> {
+    const result = await target.gate.submit({ context: request.context }, signal);
+    if (isLeft(result)) {
+      const { reason, message } = result.left;
+      throw new NotRunError(reason, message, { step: 'home.admit', peer: request.target });
+    }
+    return result.right;
+  }
+
+  private createTarget(announcement: TargetAnnouncement): HostedTarget {
+    const connections = Math.min(announcement.slots, announcement.connections);
+    const client = new TargetClient(announcement.address, connections);
+    const { slots, service } = announcement;
+    const gate = new Gate({ slots, maxQueue: this.maxQueueOf(service) }, this.costOf(service), this.clock);
+    return {
+      announcement,
+      client,
+      gate,
+      dispose: () => {
+        gate.dispose();
+        client.dispose();
+      },
+    };
+  }
+
+  private costOf(service: ServiceName): CostModel {
+    const known = this.costs.get(service);
+    if (known !== undefined) return known;
+    const cost = new CostModel();
+    this.costs.set(service, cost);
+    return cost;
+  }
+
+  private createAnswer(
+    request: ForwardRequest,
+    target: HostedTarget,
+    permit: Permit,
+    answer: TargetAnswer,
+    sent: number,
+  ): ForwardAnswer {
+    const latency = this.clock.elapsed() - sent;
+    const body = new PassThrough();
+    pipeline(answer.body as Readable, body, (error) => {
+      const whole = outcomeOfStatus(answer.status);
+      const cut: OutcomeKind = body.destroyed && !answer.body.errored ? 'cancelled' : 'truncated';
+      this.finish(request, target, permit, error ? cut : whole, sent, latency);
+    });
+    return { status: answer.status, headers: answer.headers, load: target.gate.load, body };
+  }
+
+  private finish(
+    request: ForwardRequest,
+    target: HostedTarget,
+    permit: Permit,
+    kind: OutcomeKind,
+    sent: number,
+    latency = this.clock.elapsed() - sent,
+  ): void {
+    const outcome: TargetOutcome = { kind, route: request.context.route, latency };
+    permit.release(outcome);
+    const { id, incarnation } = target.announcement;
+    this.outcomeEmitter.fire({ target: brandAs<TargetId>(id), incarnation, request, outcome });
+  }
+}
--- /dev/null
+++ b/src/daemon/RemoteHome.ts
@@ -0,0 +1,93 @@
+import { Readable } from 'node:stream';
+import type { ClientDuplexStream } from '@grpc/grpc-js';
+import { NotRunError, OutcomeUnknownError, type RefusalReason } from '../api/index.js';
+import type { AnswerPart__Output as AnswerPart } from './generated/limpettrack/AnswerPart.js';
+import type { RequestPart } from './generated/limpettrack/RequestPart.js';
+import type { PeerConnections } from './PeerConnections.js';
+import { decodeHeaders, decodeLoad, encodeRequestHead } from './PeerMessages.js';
+import type { ForwardAnswer, ForwardRequest, Home } from './Types.js';
+
+type ForwardCall = ClientDuplexStream<RequestPart, AnswerPart>;
+
+const connectTimeout = 1_000;
+
+async function sendBody(call: ForwardCall, body: Readable | undefined): Promise<void> {
+  if (body !== undefined) {
+    for await (const chunk of body) {
+      if (!call.write({ body: chunk as Buffer })) {
+        await new Promise<void>((resolve) => {
+          call.once('drain', resolve);
+          call.once('close', resolve);
+          call.once('error', () => resolve());
+        });
+      }
+    }
+  }
+  call.write({ end: true });
+  call.end();
+}
+
+async function* readBody(parts: AsyncIterator<AnswerPart>, peer: string): AsyncGenerator<Buffer> {
+  for (;;) {
+    const { value, done } = await parts.next();
+    if (done === true) {
+      throw new OutcomeUnknownError('answer body was cut', { step: 'forward.body', peer });
+    }
+    if (value.part === 'end') return;
+    if (value.body !== undefined) yield value.body;
+  }
+}
+
+/** Home at a peer, reached over gRPC. */
+export class RemoteHome implements Home {
+  public constructor(
+    private readonly address: string,
+    private readonly connections: PeerConnections,
+  ) {}
+
+  public async forward(request: ForwardRequest, signal: AbortSignal): Promise<ForwardAnswer> {
+    const wait = Math.min(connectTimeout, request.context.timeout);
+    const client = await this.connections.getReady(this.address, wait);
+    // No gRPC deadline: the timeout covers the wait for the head, a body may take longer.
+    const call = client.forward();
+    const cancel = (): void => call.cancel();
+    signal.addEventListener('abort', cancel, { once: true });
+    call.once('close', () => signal.removeEventListener('abort', cancel));
+    // The error is reported through the iterator; a second listener keeps it from being uncaught.
+    call.on('error', () => {});
+    call.write({ head: encodeRequestHead(request) });
+    sendBody(call, request.body).catch(cancel);
+    return this.readAnswer(call);
+  }
+
+  private async readAnswer(call: ForwardCall): Promise<ForwardAnswer> {
+    const peer = this.address;
+    const parts = call[Symbol.asyncIterator]() as AsyncIterator<AnswerPart>;
+    const first = await parts.next().catch((cause: Error) => {
+      throw new OutcomeUnknownError(cause.message, { step: 'forward.answer', peer, cause });
+    });
+    if (first.done === true) {
+      throw new OutcomeUnknownError('no answer', { step: 'forward.answer', peer });
+    }
+    const { failure, head } = first.value;
+    if (failure !== undefined && failure !== null) {
+      if (!failure.notRun) {
+        throw new OutcomeUnknownError(failure.message, { step: 'forward.target', peer });
+      }
+      throw new NotRunError(failure.reason as RefusalReason, failure.message, {
+        step: 'forward.target',
+        peer,
+      });
+    }
+    if (head === undefined || head === null) {
+      call.cancel();
+      throw new OutcomeUnknownError('answer without a head', { step: 'forward.answer', peer });
+    }
+    return {
+      status: head.status,
+      headers: decodeHeaders(head.headers),
+      load: decodeLoad(head.load),
+      body: Readable.from(readBody(parts, peer), { objectMode: false }),
+    };
+  }
+}
--- /dev/null
+++ b/src/daemon/RequestCheck.ts
@@ -0,0 +1,77 @@
+import type { IncomingMessage } from 'node:http';
+import * as E from 'fp-ts/lib/Either.js';
+import type { HeaderPair } from './Types.js';
+
+/** A request that must not reach a target. */
+export interface Rejection {
+  readonly status: 400 | 411 | 413 | 431;
+  readonly message: string;
+}
+
+/** Checked parts of a request. */
+export interface CheckedRequest {
+  /** `host` or `host:port` in lower case. */
+  readonly host: string;
+  /** Path with query. */
+  readonly path: string;
+  /** Declared length in bytes; undefined for a chunked body, 0 for no body. */
+  readonly length: number | undefined;
+}
+
+/** Greatest number of headers. */
+export const maxHeaders = 100;
+/** Greatest declared body in bytes. */
+export const maxBody = 64 * 1024 * 1024;
+/** Greatest body in bytes that is read whole: chunked ones and those of non-idempotent requests. */
+export const maxBufferedBody = 1024 * 1024;
+
+const hostPattern = /^(?:[a-z0-9](?:[a-z0-9.-]*[a-z0-9])?|\[[0-9a-f:.]+\])(?::\d{1,5})?$/;
+const pathPattern = /^\/[\x21-\x7e]*$/;
+
+function reject(status: Rejection['status'], message: string): E.Either<Rejection, never> {
+  return E.left({ status, message });
+}
+
+function splitTarget(url: string): { readonly host?: string; readonly path: string } {
+  const absolute = /^https?:\/\/([^/?#]*)(.*)$/i.exec(url);
+  if (absolute === null) return { path: url };
+  const [, host = '', rest = ''] = absolute;
+  return { host, path: rest.startsWith('/') ? rest : `/${rest}` };
+}
+
+function readLength(
+  headers: readonly HeaderPair[],
+  isChunked: boolean,
+): E.Either<Rejection, number | undefined> {
+  const lengths = headers.filter(([name]) => name.toLowerCase() === 'content-length');
+  if (isChunked) {
+    return lengths.length > 0
+      ? reject(400, 'Content-Length together with Transfer-Encoding')
+      : E.right(undefined);
+  }
+  if (lengths.length > 1) return reject(400, 'more than one Content-Length');
+  const [, text = '0'] = lengths[0] ?? [];
+  if (!/^\d{1,15}$/.test(text)) return reject(400, 'Content-Length is not a number');
+  return Number(text) > maxBody ? reject(413, `body over ${maxBody} bytes`) : E.right(Number(text));
+}
+
+/** Checks what the HTTP parser lets through: host, path, lengths and number of headers. */
+export function checkRequest(
+  request: Pick<IncomingMessage, 'url' | 'httpVersion'>,
+  headers: readonly HeaderPair[],
+): E.Either<Rejection, CheckedRequest> {
+  if (headers.length > maxHeaders) return reject(431, `more than ${maxHeaders} headers`);
+  const hosts = headers.filter(([name]) => name.toLowerCase() === 'host');
+  const { host: absoluteHost, path } = splitTarget(request.url ?? '');
+  const host = (absoluteHost ?? hosts[0]?.[1] ?? '').toLowerCase();
+  if (hosts.length !== 1 || !hostPattern.test(host)) return reject(400, 'bad Host');
+  if (!pathPattern.test(path)) return reject(400, 'bad path');
+  const encodings = headers.filter(([name]) => name.toLowerCase() === 'transfer-encoding');
+  const isChunked = encodings.length > 0;
+  if (isChunked && (encodings.length > 1 || encodings[0]?.[1].toLowerCase() !== 'chunked')) {
+    return reject(400, 'Transfer-Encoding other than chunked');
+  }
+  return E.map((length: number | undefined) => ({ host, path, length }))(
+    readLength(headers, isChunked),
+  );
+}
--- /dev/null
+++ b/src/daemon/RequestMetrics.ts
@@ -0,0 +1,90 @@
+import { build, type Histogram } from 'hdr-histogram-js';
+import { Counter, Gauge, Registry } from 'prom-client';
+import { NotRunError, type WorkClass } from '../api/index.js';
+import type { FinishedRequest } from './HttpFront.js';
+
+const microsecondsPerMillisecond = 1_000;
+const highestTrackableValue = 3_600_000_000;
+const quantiles = [0.5, 0.9, 0.99, 0.999];
+
+/** Latencies of one class in milliseconds. */
+export interface LatencySummary {
+  readonly workClass: WorkClass;
+  readonly service: string;
+  readonly count: number;
+  readonly p50: number;
+  readonly p99: number;
+}
+
+function createHistogram(): Histogram {
+  return build({ lowestDiscernibleValue: 1, highestTrackableValue, numberOfSignificantValueDigits: 3 });
+}
+
+/** Counts requests and keeps their latencies. */
+export class RequestMetrics {
+  public readonly registry = new Registry();
+
+  private readonly histograms = new Map<string, Histogram>();
+
+  private readonly requests = new Counter({
+    name: 'limpettrack_requests_total',
+    help: 'Finished requests by service, class and result',
+    labelNames: ['service', 'class', 'result'],
+    registers: [this.registry],
+  });
+
+  public constructor() {
+    const metrics = this;
+    // eslint-disable-next-line no-new -- the gauge registers itself
+    new Gauge({
+      name: 'limpettrack_request_duration_milliseconds',
+      help: 'Quantiles of the request duration by service and class',
+      labelNames: ['service', 'class', 'quantile'],
+      registers: [this.registry],
+      collect() {
+        metrics.histograms.forEach((histogram, key) => {
+          const [service = '', workClass = ''] = key.split(' ');
+          quantiles.forEach((quantile) => {
+            const value = histogram.getValueAtPercentile(quantile * 100);
+            const labels = { service, class: workClass, quantile: String(quantile) };
+            this.set(labels, value / microsecondsPerMillisecond);
+          });
+        });
+      },
+    });
+  }
+
+  /** Records a finished request. */
+  public record({ context, status, duration, error }: FinishedRequest): void {
+    const { service, workClass } = context;
+    const result = error instanceof NotRunError ? error.reason : String(status);
+    this.requests.inc({ service, class: workClass, result });
+    if (error !== undefined) return;
+    const key = `${service} ${workClass}`;
+    let histogram = this.histograms.get(key);
+    if (histogram === undefined) {
+      histogram = createHistogram();
+      this.histograms.set(key, histogram);
+    }
+    histogram.recordValue(Math.min(duration * microsecondsPerMillisecond, highestTrackableValue));
+  }
+
+  /** Requests by service, class and result. */
+  public async counts(): Promise<readonly { labels: object; value: number }[]> {
+    return (await this.requests.get()).values;
+  }
+
+  /** Latencies by service and class. */
+  public latencies(): readonly LatencySummary[] {
+    return [...this.histograms].map(([key, histogram]) => {
+      const [service = '', workClass = ''] = key.split(' ');
+      return {
+        service,
+        workClass: workClass as WorkClass,
+        count: histogram.totalCount,
+        p50: histogram.getValueAtPercentile(50) / microsecondsPerMillisecond,
+        p99: histogram.getValueAtPercentile(99) / microsecondsPerMillisecond,
+      };
+    });
+  }
+}
--- /dev/null
+++ b/src/daemon/TargetClient.ts
@@ -0,0 +1,142 @@
+import type { Readable } from 'node:stream';
+import { Pool, type Dispatcher } from 'undici';
+import { NotRunError, OutcomeUnknownError, type Disposable, type OutcomeKind } from '../api/index.js';
+import { dropHopByHop, findHeader, pairHeaders, requestIdHeader, timeoutHeader } from './Headers.js';
+import type { ForwardRequest, HeaderPair } from './Types.js';
+
+const connectTimeout = 1_000;
+/** Longest pause between two parts of a body, in milliseconds, before the connection counts as half-open. */
+const bodyTimeout = 10_000;
+/** Node.js servers close idle connections after 5 s; we drop ours first so that no request meets the close. */
+const keepAliveTimeout = 3_000;
+
+/** Errors that arise before a connection stands, so the request was not sent. */
+const connectErrors: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EADDRNOTAVAIL',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** Answer as it comes from a target. */
+export interface TargetAnswer {
+  readonly status: number;
+  readonly headers: readonly HeaderPair[];
+  readonly body: Readable;
+}
+
+/** A target gave no usable answer. */
+export interface TargetFailure {
+  readonly kind: OutcomeKind;
+  readonly error: NotRunError | OutcomeUnknownError;
+}
+
+function codeOf(error: unknown): string {
+  return error instanceof Error && 'code' in error ? String(error.code) : '';
+}
+
+function isFramed(status: number, method: string, headers: readonly HeaderPair[]): boolean {
+  if (method === 'HEAD' || status === 204 || status === 304) return true;
+  return (
+    findHeader(headers, 'content-length') !== undefined ||
+    findHeader(headers, 'transfer-encoding') !== undefined
+  );
+}
+
+/** Connections to one target. */
+export class TargetClient implements Disposable {
+  private readonly pool: Pool;
+
+  public constructor(
+    private readonly address: string,
+    connections: number,
+  ) {
+    this.pool = new Pool(`http://${address}`, {
+      connections,
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout,
+      keepAliveTimeout,
+      keepAliveMaxTimeout: keepAliveTimeout,
+      connect: { timeout: connectTimeout },
+    });
+  }
+
+  /** Sends a request once. Throws a `TargetFailure`. */
+  public async send(
+    request: ForwardRequest,
+    timeout: number,
+    signal: AbortSignal,
+  ): Promise<TargetAnswer> {
+    const abort = new AbortController();
+    let isLate = false;
+    const timer = setTimeout(() => {
+      isLate = true;
+      abort.abort();
+    }, timeout);
+    const cancel = (): void => abort.abort();
+    signal.addEventListener('abort', cancel, { once: true });
+    if (signal.aborted) abort.abort();
+    try {
+      const response = await this.dispatch(request, timeout, abort.signal);
+      return this.check(request, response);
+    } catch (error) {
+      throw this.classify(error, isLate, signal.aborted);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  public dispose(): void {
+    void this.pool.destroy();
+  }
+
+  private dispatch(
+    request: ForwardRequest,
+    timeout: number,
+    signal: AbortSignal,
+  ): Promise<Dispatcher.ResponseData> {
+    return this.pool.request({
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.path,
+      headers: [...request.headers, [timeoutHeader, String(Math.round(timeout))]].flat() as string[],
+      body: request.body ?? null,
+      idempotent: request.context.isIdempotent,
+      responseHeaders: 'raw',
+      signal,
+    });
+  }
+
+  private check(request: ForwardRequest, response: Dispatcher.ResponseData): TargetAnswer {
+    const raw = pairHeaders(response.headers as unknown as string[]);
+    const { statusCode: status, body } = response;
+    const echo = findHeader(raw, requestIdHeader);
+    const isCrossed = echo !== undefined && echo !== request.context.id;
+    if (isCrossed || !isFramed(status, request.method, raw)) {
+      body.destroy();
+      const message = isCrossed ? 'answer belongs to another request' : 'answer has no length';
+      throw this.createFailure('invalid', message);
+    }
+    return { status, headers: dropHopByHop(raw), body };
+  }
+
+  private classify(error: unknown, isLate: boolean, isCancelled: boolean): TargetFailure {
+    if (typeof error === 'object' && error !== null && 'kind' in error) {
+      return error as TargetFailure;
+    }
+    const message = error instanceof Error ? error.message : String(error);
+    if (connectErrors.has(codeOf(error))) {
+      const origin = { step: 'target.connect', peer: this.address, cause: error };
+      return { kind: 'connect-failed', error: new NotRunError('connect-failed', message, origin) };
+    }
+    if (isLate) return this.createFailure('timeout', 'no answer within the timeout', error);
+    if (isCancelled) return this.createFailure('cancelled', 'cancelled by the caller', error);
+    return this.createFailure('reset', message, error);
+  }
+
+  private createFailure(kind: OutcomeKind, message: string, cause?: unknown): TargetFailure {
+    const origin = { step: 'target.answer', peer: this.address, cause };
+    return { kind, error: new OutcomeUnknownError(message, origin) };
+  }
+}
--- /dev/null
+++ b/src/daemon/plugins.ts
@@ -0,0 +1,2 @@
+/** All plug-ins of the daemon. Each registers itself on import. */
+import '../../addons/log-consola/ConsolaSink.js';
