--- /dev/null
+++ b/src/common/admission/WaitingQueue.ts
@@ -0,0 +1,78 @@
+import type { WorkClass } from '../services/Types.js';
+
+/** Rank of each class; the lowest goes first. */
+export const classRank: Readonly<Record<WorkClass, number>> = {
+  critical: 0,
+  interactive: 1,
+  bulk: 2,
+};
+
+/** What the queue needs to know of an item. */
+export interface Waiting {
+  readonly workClass: WorkClass;
+  /** Time on the monotonic clock in milliseconds. */
+  readonly deadline: number;
+}
+
+function goesBefore(left: Waiting, right: Waiting): boolean {
+  const difference = classRank[left.workClass] - classRank[right.workClass];
+  return difference === 0 ? left.deadline < right.deadline : difference < 0;
+}
+
+/** Waiting work in the order of class and deadline; equal items keep the order of arrival. */
+export class WaitingQueue<Item extends Waiting> {
+  private items: Item[] = [];
+
+  /** Number of waiting items. */
+  public get size(): number {
+    return this.items.length;
+  }
+
+  /** All items, first to go first. */
+  public get all(): readonly Item[] {
+    return this.items;
+  }
+
+  /** Inserts an item behind those that go before it or are equal. */
+  public add(item: Item): void {
+    this.items.splice(this.position(item), 0, item);
+  }
+
+  /** Items that go before `item` or are equal to it. */
+  public ahead(item: Waiting): readonly Item[] {
+    return this.items.slice(0, this.position(item));
+  }
+
+  /** Removes an item; returns false if it is not in the queue. */
+  public remove(item: Item): boolean {
+    const index = this.items.indexOf(item);
+    if (index >= 0) this.items.splice(index, 1);
+    return index >= 0;
+  }
+
+  /** Takes out all items for which `matches` holds, in their order. */
+  public takeAll(matches: (item: Item) => boolean): readonly Item[] {
+    const taken = this.items.filter(matches);
+    if (taken.length > 0) this.items = this.items.filter((item) => !matches(item));
+    return taken;
+  }
+
+  /** The item that goes last, if it is of a lower class than `workClass`. */
+  public lastBelow(workClass: WorkClass): Item | undefined {
+    const last = this.items.at(-1);
+    if (last === undefined) return undefined;
+    return classRank[last.workClass] > classRank[workClass] ? last : undefined;
+  }
+
+  private position(item: Waiting): number {
+    let low = 0;
+    let high = this.items.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      const other = this.items[middle];
+      if (other !== undefined && goesBefore(item, other)) high = middle;
+      else low = middle + 1;
+    }
+    return low;
+  }
+}
--- a/src/common/base/Errors.ts
+++ b/src/common/base/Errors.ts
@@ -54,7 +54,8 @@
   | 'store-away'
   | 'connect-failed'
   | 'bad-request'
-  | 'authority-away';
+  | 'authority-away'
+  | 'cancelled';
 
 /** The request was refused and has not been run. */
 export class NotRunError extends FleetError {
