--- a/src/common/configuration/Types.ts
+++ b/src/common/configuration/Types.ts
@@ -104,3 +104,70 @@
   /** Bytes. */
   readonly size: number;
 }
+
+/** Computes the lower-case hexadecimal SHA-256 of a content. */
+export type Digest = (content: Uint8Array) => string;
+
+/** The documents of a configuration without the revision at which they stand. */
+export type ConfigurationContent = Omit<Configuration, 'revision'>;
+
+/** Content of one chunk with the digest that names it. */
+export interface ConfigurationChunk {
+  readonly digest: string;
+  readonly content: Uint8Array;
+}
+
+/** A revision as an operator reads it from the store, the base of a change. */
+export interface ConfigurationSnapshot {
+  /** Absent before the first change. */
+  readonly head?: ConfigurationHead;
+  /** Store revision of `config/head`; 0 if it does not exist. */
+  readonly modRevision: number;
+  readonly configuration: Configuration;
+}
+
+/** Who made a change and what it does, in one line. */
+export interface ChangeNote {
+  readonly author: string;
+  readonly summary: string;
+}
+
+/** Result of an operator's change. */
+export type ChangeResult =
+  | { readonly type: 'applied'; readonly head: ConfigurationHead }
+  | {
+      /** Someone else changed the configuration since `base` was read; nothing was written to the head. */
+      readonly type: 'conflict';
+      readonly base: ConfigurationSnapshot;
+      /** What the operator wanted. */
+      readonly wanted: ConfigurationContent;
+      /** What stands in the store now. */
+      readonly present: ConfigurationSnapshot;
+    };
+
+/**
+ * Operators' reads and writes of the configuration in the store. Every call throws `StoreError` if the store
+ * cannot be reached. The outcome `unknown` means that reading back failed too.
+ */
+export interface ConfigurationEditor {
+  /** Reads the revision that stands in the store; an empty configuration at revision 0 if there is none. */
+  read(): Promise<ConfigurationSnapshot>;
+  /** Writes `wanted` as the next revision after `base`; throws `InvalidInputError` with all problems. */
+  change(
+    base: ConfigurationSnapshot,
+    wanted: ConfigurationContent,
+    note: ChangeNote,
+  ): Promise<ChangeResult>;
+  /** Makes a preset the one in force. */
+  switchPreset(
+    base: ConfigurationSnapshot,
+    preset: PresetName,
+    note: ChangeNote,
+  ): Promise<ChangeResult>;
+  /** Heads of the last 50 revisions, newest first. */
+  history(): Promise<readonly ConfigurationHead[]>;
+  /** Reads a revision that is still in the history; throws `InvalidInputError` if it is not. */
+  readRevision(revision: Revision): Promise<Configuration>;
+  /** Writes the content of an old revision as a new one. */
+  restore(base: ConfigurationSnapshot, revision: Revision, note: ChangeNote): Promise<ChangeResult>;
+}
