--- a/addons/log-consola/ConsolaSink.ts
+++ b/addons/log-consola/ConsolaSink.ts
@@ -13,7 +13,9 @@
   log: ({ date, type, args }) => {
     const [line] = args as [LogLine];
     const { kind, message, fields } = line;
-    process.stdout.write(`${JSON.stringify({ time: date, level: type, kind, message, ...fields })}\n`);
+    process.stdout.write(
+      `${JSON.stringify({ time: date, level: type, kind, message, ...fields })}\n`,
+    );
   },
 };
 
--- a/src/common/routing/RouteTable.test.ts
+++ b/src/common/routing/RouteTable.test.ts
@@ -4,7 +4,11 @@
 import type { RouteDocument } from '../configuration/Types.js';
 import { isIdempotent, RouteTable } from './RouteTable.js';
 
-function createRoute(name: string, path: string, extra: Partial<RouteDocument> = {}): RouteDocument {
+function createRoute(
+  name: string,
+  path: string,
+  extra: Partial<RouteDocument> = {},
+): RouteDocument {
   return { name, path, service: brandAs<ServiceName>('s'), workClass: 'interactive', ...extra };
 }
 
@@ -22,7 +26,12 @@
     { name: 'a prefix ends at a segment', path: '/lotsize', expected: 'root' },
     { name: 'exact path', path: '/lots', expected: 'lots' },
     { name: 'a route with methods goes first', method: 'POST', path: '/lots/7', expected: 'bids' },
-    { name: 'a named host goes before any path', host: 'admin.example', path: '/lots', expected: 'admin' },
+    {
+      name: 'a named host goes before any path',
+      host: 'admin.example',
+      path: '/lots',
+      expected: 'admin',
+    },
   ];
   cases.forEach(({ name, method = 'GET', host = 'x', path, expected }) => {
     it(name, () => {
@@ -47,7 +56,9 @@
   ];
   cases.forEach(({ method, declared, expected }) => {
     it(`${method} on a route that says ${declared} is ${expected}`, () => {
-      expect(isIdempotent(createRoute('r', '/', { isIdempotent: declared }), method)).to.equal(expected);
+      expect(isIdempotent(createRoute('r', '/', { isIdempotent: declared }), method)).to.equal(
+        expected,
+      );
     });
   });
 });
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -1,4 +1,5 @@
-import { randomInt } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { json } from 'node:stream/consumers';
 import {
   brandAs,
   createIncarnation,
@@ -9,15 +10,18 @@
   type LogSink,
   type RandomSource,
   type RequestId,
+  type ServiceName,
   type TargetAnnouncement,
   type TargetEntry,
+  type TargetId,
 } from '../api/index.js';
 import { RouteTable } from '../common/routing/RouteTable.js';
+import { CrossRegionBudget } from '../common/selection/CrossRegionBudget.js';
 import { LoadTable } from '../common/selection/LoadTable.js';
 import { Selector } from '../common/selection/Selector.js';
 import { AdminServer } from './AdminServer.js';
 import { DecisionLog } from './DecisionLog.js';
-import { Forwarder } from './Forwarder.js';
+import { Forwarder, type RoutedRequest } from './Forwarder.js';
 import { HttpFront } from './HttpFront.js';
 import { LocalHome } from './LocalHome.js';
 import { PeerConnections } from './PeerConnections.js';
@@ -26,4 +30,198 @@
 import { RequestMetrics } from './RequestMetrics.js';
 import { sendJson } from './Responses.js';
 import type { DaemonSettings } from './Settings.js';
-import type { Home, Identity } from './Types.js';
+import type { Directory, ForwardAnswer, Home, Identity } from './Types.js';
+
+const announcePath = '/.limpettrack/targets/';
+const randomRange = 0x1_0000_0000;
+
+/** What a daemon takes from its process. */
+export interface DaemonEnvironment {
+  readonly clock: Clock;
+  readonly sink: LogSink;
+  readonly random: RandomSource;
+}
+
+/** Ports that a daemon listens on. */
+export interface DaemonPorts {
+  readonly peer: number;
+  readonly admin: number;
+  readonly callers: number;
+}
+
+/** One daemon: wires the services and owns their life time. */
+export class Daemon implements Disposable {
+  private readonly disposables = new DisposableStore();
+
+  private readonly identity: Identity;
+
+  private readonly log: DecisionLog;
+
+  private readonly metrics = new RequestMetrics();
+
+  private readonly home: LocalHome;
+
+  private readonly connections: PeerConnections;
+
+  private readonly peerServer: PeerServer;
+
+  private readonly admin: AdminServer;
+
+  private readonly front: HttpFront;
+
+  private readonly forwarder: Forwarder;
+
+  private readonly homes = new Map<string, Home>();
+
+  private readonly announced = new Map<TargetId, TargetEntry>();
+
+  private routes = new RouteTable([]);
+
+  private requestCount = 0;
+
+  public constructor(
+    private readonly settings: DaemonSettings,
+    private readonly environment: DaemonEnvironment,
+  ) {
+    const { clock, random, sink } = environment;
+    this.identity = {
+      id: settings.id,
+      incarnation: createIncarnation(clock.now(), random() * randomRange),
+      location: { region: settings.region, dataCentre: settings.dataCentre },
+      address: settings.peer,
+    };
+    this.log = new DecisionLog(sink, settings.routeSample, random, () => clock.now());
+    this.home = this.disposables.add(new LocalHome(clock, () => 100));
+    this.connections = this.disposables.add(new PeerConnections());
+    this.peerServer = this.disposables.add(new PeerServer(this.home, {}));
+    this.admin = this.disposables.add(new AdminServer());
+    this.forwarder = this.createForwarder();
+    this.front = this.disposables.add(this.createFront());
+    this.addAdminHandlers();
+  }
+
+  /** Opens the sockets and returns their ports; throws if an address cannot be bound. */
+  public async start(): Promise<DaemonPorts> {
+    const { settings } = this;
+    const peer = await this.peerServer.listen(settings.peer);
+    const admin = await this.admin.listen(settings.admin);
+    const callers = await this.front.listen(settings.callers);
+    this.logLifecycle('serving');
+    return { peer, admin, callers };
+  }
+
+  /** Graceful shutdown: no request in flight is cut. */
+  public async stop(): Promise<void> {
+    this.logLifecycle('stopping');
+    this.front.announceStop();
+    await new Promise<void>((resolve) => {
+      this.environment.clock.after(this.settings.notice, resolve);
+    });
+    await this.front.drain();
+    await this.peerServer.drain();
+    this.logLifecycle('stopped');
+    this.dispose();
+  }
+
+  public dispose(): void {
+    this.disposables.dispose();
+  }
+
+  private logLifecycle(message: string): void {
+    const { id, incarnation, location } = this.identity;
+    this.log.write({
+      level: 'info',
+      kind: 'lifecycle',
+      message,
+      fields: { daemon: id, incarnation, dataCentre: location.dataCentre },
+    });
+  }
+
+  private createForwarder(): Forwarder {
+    const { clock, random } = this.environment;
+    const directory: Directory = {
+      candidates: (service: ServiceName) =>
+        [...this.announced.values()].filter((target) => target.service === service),
+      addressOf: () => undefined,
+    };
+    const crossRegion = new CrossRegionBudget(() => 1_000_000, clock);
+    return new Forwarder({
+      clock,
+      directory,
+      selector: new Selector(this.identity.location, random, { pathPenalty: () => 0, crossRegion }),
+      loads: new LoadTable(clock),
+      retries: { recordRequest: () => {}, takeRetry: () => true },
+      log: this.log,
+      homeOf: (daemon) => this.homeOf(daemon, directory),
+    });
+  }
+
+  private homeOf(daemon: DaemonId, directory: Directory): Home {
+    if (daemon === this.identity.id) return this.home;
+    const address = directory.addressOf(daemon) ?? '';
+    let home = this.homes.get(address);
+    if (home === undefined) {
+      home = new RemoteHome(address, this.connections);
+      this.homes.set(address, home);
+    }
+    return home;
+  }
+
+  private createFront(): HttpFront {
+    return new HttpFront({
+      clock: this.environment.clock,
+      log: this.log,
+      routes: () => this.routes,
+      forwarder: this.forwarder,
+      runOperation: (request, signal) => this.runOperation(request, signal),
+      internal: () => Promise.resolve(false),
+      checkLimits: () => {},
+      timeoutOf: (route) => route.timeout ?? 10_000,
+      createId: () => this.createRequestId(),
+      onFinished: (request) => this.metrics.record(request),
+    });
+  }
+
+  private createRequestId(): RequestId {
+    this.requestCount += 1;
+    const { id, incarnation } = this.identity;
+    return brandAs<RequestId>(`${id}.${incarnation}.${this.requestCount.toString(36)}`);
+  }
+
+  private runOperation(request: RoutedRequest, signal: AbortSignal): Promise<ForwardAnswer> {
+    return this.forwarder.forward(request, signal);
+  }
+
+  private addAdminHandlers(): void {
+    this.admin.on('PUT', announcePath, (request, response) => this.announce(request, response));
+    this.admin.on('GET', '/metrics', async (_request, response) => {
+      const text = await this.metrics.text();
+      response.writeHead(200, { 'content-type': this.metrics.registry.contentType });
+      response.end(text);
+    });
+    this.admin.on('GET', '/why', async (_request, response, url) => {
+      sendJson(response, 200, this.log.find(url.searchParams.get('id') ?? ''));
+    });
+  }
+
+  private async announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const announcement = (await json(request)) as TargetAnnouncement;
+    this.home.announce(announcement);
+    this.announced.set(announcement.id, {
+      ...announcement,
+      home: this.identity.id,
+      location: this.identity.location,
+      status: 'active',
+      share: 1,
+    });
+    this.routes = new RouteTable(
+      [...this.announced.values()].map(({ service }) => ({
+        name: service,
+        service,
+        path: `/${service}`,
+        workClass: 'interactive' as const,
+      })),
+    );
+    sendJson(response, 200, {});
+  }
+}
--- a/src/daemon/HttpFront.ts
+++ b/src/daemon/HttpFront.ts
@@ -20,8 +20,13 @@
 } from '../api/index.js';
 import { isIdempotent, type RouteTable } from '../common/routing/RouteTable.js';
 import type { Forwarder, RoutedRequest } from './Forwarder.js';
-import { createAnswerHeaders, createRequestHeaders, findHeader, pairHeaders } from './Headers.js';
-import { timeoutHeader } from './Headers.js';
+import {
+  createAnswerHeaders,
+  createRequestHeaders,
+  findHeader,
+  pairHeaders,
+  timeoutHeader,
+} from './Headers.js';
 import { checkRequest, maxBufferedBody, type CheckedRequest } from './RequestCheck.js';
 import { createResumedBody } from './ResumedBody.js';
 import { sendFailure, sendText } from './Responses.js';
@@ -101,7 +106,13 @@
 
   public constructor(private readonly settings: HttpFrontSettings) {
     this.server = createServer(
-      { maxHeaderSize, headersTimeout, keepAliveTimeout, requestTimeout: 0, insecureHTTPParser: false },
+      {
+        maxHeaderSize,
+        headersTimeout,
+        keepAliveTimeout,
+        requestTimeout: 0,
+        insecureHTTPParser: false,
+      },
       (request, response) => {
         void this.handle(request, response);
       },
@@ -265,7 +276,11 @@
     if (!mustBuffer) return { ...routed, body: request };
     const body = await readWhole(request, maxBufferedBody);
     const withoutLength = forwarded.filter(([name]) => name.toLowerCase() !== 'content-length');
-    return { ...routed, headers: [...withoutLength, ['content-length', String(body.length)]], body };
+    return {
+      ...routed,
+      headers: [...withoutLength, ['content-length', String(body.length)]],
+      body,
+    };
   }
 
   private async answer(
@@ -281,7 +296,10 @@
     const resume = (extra: readonly HeaderPair[]): Promise<ForwardAnswer> =>
       forwarder.forward({ ...routed, headers: [...routed.headers, ...extra] }, signal);
     const body = routed.method === 'GET' ? createResumedBody(answer, resume) : answer.body;
-    response.writeHead(answer.status, createAnswerHeaders(answer.headers).flat() as string[]);
+    response.writeHead(
+      answer.status,
+      createAnswerHeaders(answer.headers).flatMap(([name, value]) => [name, value]),
+    );
     // A cut body breaks the caller's connection, so that it is never taken for a whole one.
     await pipeline(body, response);
   }
--- a/src/daemon/LocalHome.ts
+++ b/src/daemon/LocalHome.ts
@@ -1,6 +1,6 @@
-import { PassThrough, pipeline, type Readable } from 'node:stream';
+import { PassThrough, pipeline } from 'node:stream';
+import { isLeft } from 'fp-ts/lib/Either.js';
 import {
-  brandAs,
   Emitter,
   NotRunError,
   type Clock,
@@ -13,11 +13,11 @@
   type TargetLoad,
   type TargetOutcome,
 } from '../api/index.js';
-import { isLeft } from 'fp-ts/lib/Either.js';
 import { CostModel } from '../common/admission/CostModel.js';
 import { Gate } from '../common/admission/Gate.js';
 import type { Permit } from '../common/admission/Types.js';
-import { TargetClient, type TargetAnswer, type TargetFailure } from './TargetClient.js';
+import { TargetClient, type TargetAnswer } from './TargetClient.js';
+import { TargetFailure } from './TargetFailure.js';
 import type { ForwardAnswer, ForwardRequest, Home } from './Types.js';
 
 /** Target that has announced itself to this daemon. */
@@ -43,10 +43,6 @@
   return status >= firstServerError ? 'server-error' : 'success';
 }
 
-function isFailure(error: unknown): error is TargetFailure {
-  return typeof error === 'object' && error !== null && 'kind' in error && 'error' in error;
-}
-
 /** Home of the targets that announced themselves here: admits work and sends it to them. */
 export class LocalHome implements Home, Disposable {
   private readonly targets = new Map<TargetId, HostedTarget>();
@@ -107,7 +103,7 @@
       const answer = await target.client.send(request, Math.max(1, timeout), signal);
       return this.createAnswer(request, target, permit, answer, sent);
     } catch (failure) {
-      if (!isFailure(failure)) throw failure;
+      if (!(failure instanceof TargetFailure)) throw failure;
       this.finish(request, target, permit, failure.kind, sent);
       throw failure.error;
     }
@@ -146,7 +142,11 @@
     const connections = Math.min(announcement.slots, announcement.connections);
     const client = new TargetClient(announcement.address, connections);
     const { slots, service } = announcement;
-    const gate = new Gate({ slots, maxQueue: this.maxQueueOf(service) }, this.costOf(service), this.clock);
+    const gate = new Gate(
+      { slots, maxQueue: this.maxQueueOf(service) },
+      this.costOf(service),
+      this.clock,
+    );
     return {
       announcement,
       client,
@@ -175,7 +175,7 @@
   ): ForwardAnswer {
     const latency = this.clock.elapsed() - sent;
     const body = new PassThrough();
-    pipeline(answer.body as Readable, body, (error) => {
+    pipeline(answer.body, body, (error) => {
       const whole = outcomeOfStatus(answer.status);
       const cut: OutcomeKind = body.destroyed && !answer.body.errored ? 'cancelled' : 'truncated';
       this.finish(request, target, permit, error ? cut : whole, sent, latency);
@@ -194,6 +194,6 @@
     const outcome: TargetOutcome = { kind, route: request.context.route, latency };
     permit.release(outcome);
     const { id, incarnation } = target.announcement;
-    this.outcomeEmitter.fire({ target: brandAs<TargetId>(id), incarnation, request, outcome });
+    this.outcomeEmitter.fire({ target: id, incarnation, request, outcome });
   }
 }
--- a/src/daemon/PeerMessages.ts
+++ b/src/daemon/PeerMessages.ts
@@ -11,10 +11,11 @@
   type WorkClass,
 } from '../api/index.js';
 import type { Header } from './generated/limpettrack/Header.js';
-import type { Load } from './generated/limpettrack/Load.js';
-import type { Load__Output as LoadOutput } from './generated/limpettrack/Load.js';
-import type { RequestHead } from './generated/limpettrack/RequestHead.js';
-import type { RequestHead__Output as RequestHeadOutput } from './generated/limpettrack/RequestHead.js';
+import type { Load, Load__Output as LoadOutput } from './generated/limpettrack/Load.js';
+import type {
+  RequestHead,
+  RequestHead__Output as RequestHeadOutput,
+} from './generated/limpettrack/RequestHead.js';
 import type { ForwardRequest, HeaderPair } from './Types.js';
 
 const noLoad: TargetLoad = { queued: 0, running: 0, slots: 0, serviceTime: 0 };
--- a/src/daemon/PeerServer.ts
+++ b/src/daemon/PeerServer.ts
@@ -86,7 +86,9 @@
       this.server.bindAsync(address, this.credentials, (error, port) => {
         if (error === null) resolve(port);
         else {
-          reject(new FleetError(error.message, { step: 'peer.listen', peer: address, cause: error }));
+          reject(
+            new FleetError(error.message, { step: 'peer.listen', peer: address, cause: error }),
+          );
         }
       });
     });
@@ -113,7 +115,10 @@
       const first = await parts.next();
       const head = first.done === true ? undefined : first.value.head;
       if (head === undefined || head === null) {
-        throw new FleetError('stream without a head', { step: 'forward.read', peer: call.getPeer() });
+        throw new FleetError('stream without a head', {
+          step: 'forward.read',
+          peer: call.getPeer(),
+        });
       }
       const body = head.hasBody ? Readable.from(readBody(parts), { objectMode: false }) : undefined;
       await this.answer(call, { ...decodeForwardRequest(head), body }, abort.signal);
--- a/src/daemon/RequestMetrics.ts
+++ b/src/daemon/RequestMetrics.ts
@@ -17,7 +17,11 @@
 }
 
 function createHistogram(): Histogram {
-  return build({ lowestDiscernibleValue: 1, highestTrackableValue, numberOfSignificantValueDigits: 3 });
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue,
+    numberOfSignificantValueDigits: 3,
+  });
 }
 
 /** Counts requests and keeps their latencies. */
@@ -33,25 +37,23 @@
     registers: [this.registry],
   });
 
-  public constructor() {
-    const metrics = this;
-    // eslint-disable-next-line no-new -- the gauge registers itself
-    new Gauge({
-      name: 'limpettrack_request_duration_milliseconds',
-      help: 'Quantiles of the request duration by service and class',
-      labelNames: ['service', 'class', 'quantile'],
-      registers: [this.registry],
-      collect() {
-        metrics.histograms.forEach((histogram, key) => {
-          const [service = '', workClass = ''] = key.split(' ');
-          quantiles.forEach((quantile) => {
-            const value = histogram.getValueAtPercentile(quantile * 100);
-            const labels = { service, class: workClass, quantile: String(quantile) };
-            this.set(labels, value / microsecondsPerMillisecond);
-          });
-        });
-      },
+  private readonly durations = new Gauge({
+    name: 'limpettrack_request_duration_milliseconds',
+    help: 'Quantiles of the request duration by service and class',
+    labelNames: ['service', 'class', 'quantile'],
+    registers: [this.registry],
+  });
+
+  /** All metrics in the Prometheus text format. */
+  public async text(): Promise<string> {
+    this.histograms.forEach((histogram, key) => {
+      const [service = '', workClass = ''] = key.split(' ');
+      quantiles.forEach((quantile) => {
+        const value = histogram.getValueAtPercentile(quantile * 100) / microsecondsPerMillisecond;
+        this.durations.set({ service, class: workClass, quantile: String(quantile) }, value);
+      });
     });
+    return this.registry.metrics();
   }
 
   /** Records a finished request. */
--- a/src/daemon/ResumedBody.ts
+++ b/src/daemon/ResumedBody.ts
@@ -55,7 +55,9 @@
       ]);
       if (!continuesAt(next, offset, resumption)) {
         next.body.destroy();
-        throw new OutcomeUnknownError('the rest of the body has changed', { step: 'forward.resume' });
+        throw new OutcomeUnknownError('the rest of the body has changed', {
+          step: 'forward.resume',
+        });
       }
       body = next.body;
     }
--- a/src/daemon/TargetClient.ts
+++ b/src/daemon/TargetClient.ts
@@ -1,7 +1,19 @@
 import type { Readable } from 'node:stream';
 import { Pool, type Dispatcher } from 'undici';
-import { NotRunError, OutcomeUnknownError, type Disposable, type OutcomeKind } from '../api/index.js';
-import { dropHopByHop, findHeader, pairHeaders, requestIdHeader, timeoutHeader } from './Headers.js';
+import {
+  NotRunError,
+  OutcomeUnknownError,
+  type Disposable,
+  type OutcomeKind,
+} from '../api/index.js';
+import {
+  dropHopByHop,
+  findHeader,
+  pairHeaders,
+  requestIdHeader,
+  timeoutHeader,
+} from './Headers.js';
+import { TargetFailure } from './TargetFailure.js';
 import type { ForwardRequest, HeaderPair } from './Types.js';
 
 const connectTimeout = 1_000;
@@ -26,12 +38,6 @@
   readonly body: Readable;
 }
 
-/** A target gave no usable answer. */
-export interface TargetFailure {
-  readonly kind: OutcomeKind;
-  readonly error: NotRunError | OutcomeUnknownError;
-}
-
 function codeOf(error: unknown): string {
   return error instanceof Error && 'code' in error ? String(error.code) : '';
 }
@@ -98,9 +104,13 @@
     signal: AbortSignal,
   ): Promise<Dispatcher.ResponseData> {
     return this.pool.request({
-      method: request.method as Dispatcher.HttpMethod,
+      method: request.method,
       path: request.path,
-      headers: [...request.headers, [timeoutHeader, String(Math.round(timeout))]].flat() as string[],
+      headers: [
+        ...request.headers.flatMap((pair) => [...pair]),
+        timeoutHeader,
+        String(Math.round(timeout)),
+      ],
       body: request.body ?? null,
       idempotent: request.context.isIdempotent,
       responseHeaders: 'raw',
@@ -122,13 +132,14 @@
   }
 
   private classify(error: unknown, isLate: boolean, isCancelled: boolean): TargetFailure {
-    if (typeof error === 'object' && error !== null && 'kind' in error) {
-      return error as TargetFailure;
-    }
+    if (error instanceof TargetFailure) return error;
     const message = error instanceof Error ? error.message : String(error);
     if (connectErrors.has(codeOf(error))) {
       const origin = { step: 'target.connect', peer: this.address, cause: error };
-      return { kind: 'connect-failed', error: new NotRunError('connect-failed', message, origin) };
+      return new TargetFailure(
+        'connect-failed',
+        new NotRunError('connect-failed', message, origin),
+      );
     }
     if (isLate) return this.createFailure('timeout', 'no answer within the timeout', error);
     if (isCancelled) return this.createFailure('cancelled', 'cancelled by the caller', error);
@@ -137,6 +148,6 @@
 
   private createFailure(kind: OutcomeKind, message: string, cause?: unknown): TargetFailure {
     const origin = { step: 'target.answer', peer: this.address, cause };
-    return { kind, error: new OutcomeUnknownError(message, origin) };
+    return new TargetFailure(kind, new OutcomeUnknownError(message, origin));
   }
 }
--- a/src/demo/Callers.ts
+++ b/src/demo/Callers.ts
@@ -52,7 +52,13 @@
       const expected = sent ?? createContent(path, kind.size);
       const result = Callers.judge(response, body, expected);
       const duration = performance.now() - started;
-      return { kind, status: response.statusCode, duration, result, key: isWrite ? key : undefined };
+      return {
+        kind,
+        status: response.statusCode,
+        duration,
+        result,
+        key: isWrite ? key : undefined,
+      };
     } catch {
       const duration = performance.now() - started;
       return { kind, status: 0, duration, result: 'unknown', key: isWrite ? key : undefined };
--- a/src/target/TargetServer.ts
+++ b/src/target/TargetServer.ts
@@ -1,8 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { once } from 'node:events';
 import { setTimeout as delay } from 'node:timers/promises';
-import prand from 'pure-rand';
-import type { RandomSource } from '../api/index.js';
+import { createRandom, type RandomSource } from '../api/index.js';
 import { noFault, type FaultSettings, type TargetSettings } from './Types.js';
 
 const coldFactor = 2;
@@ -19,11 +18,6 @@
   readonly id: string;
 }
 
-function createRandom(seed: number): RandomSource {
-  const generator = prand.xoroshiro128plus(seed);
-  return () => prand.unsafeUniformIntDistribution(0, 0x7fffffff, generator) / 0x80000000;
-}
-
 async function readBody(request: IncomingMessage): Promise<Buffer> {
   const chunks: Buffer[] = [];
   for await (const chunk of request) chunks.push(chunk as Buffer);
