--- /dev/null
+++ b/src/common/retry/WindowCounter.ts
@@ -0,0 +1,51 @@
+import type { Clock } from '../base/index.js';
+
+/** Milliseconds of one bucket. */
+const bucketLength = 1_000;
+
+/** Counts events of the last seconds in buckets of one second. */
+export class WindowCounter {
+  private readonly buckets: number[];
+
+  private newest: number;
+
+  private total = 0;
+
+  /** `length` is the number of seconds, the present one included. */
+  public constructor(
+    length: number,
+    private readonly clock: Clock,
+  ) {
+    this.buckets = new Array<number>(length).fill(0);
+    this.newest = this.second();
+  }
+
+  /** Events within the window. */
+  public get sum(): number {
+    this.roll();
+    return this.total;
+  }
+
+  /** Counts one event now. */
+  public add(): void {
+    this.roll();
+    const index = this.newest % this.buckets.length;
+    this.buckets[index] = (this.buckets[index] ?? 0) + 1;
+    this.total += 1;
+  }
+
+  private roll(): void {
+    const now = this.second();
+    const steps = Math.min(now - this.newest, this.buckets.length);
+    for (let step = 1; step <= steps; step += 1) {
+      const index = (now - steps + step) % this.buckets.length;
+      this.total -= this.buckets[index] ?? 0;
+      this.buckets[index] = 0;
+    }
+    this.newest = now;
+  }
+
+  private second(): number {
+    return Math.floor(this.clock.elapsed() / bucketLength);
+  }
+}
