--- a/src/common/services/Types.ts
+++ b/src/common/services/Types.ts
@@ -75,6 +75,10 @@
   /** Renews a lease; throws `StoreError` if it has lapsed. */
   keepAlive(lease: string): Promise<void>;
   revokeLease(lease: string): Promise<void>;
+  /**
+   * Delivers the changes of all keys that start with `prefix`. A read that begins after `watch` has returned sees
+   * every change that the watch does not deliver, so an owner first watches and then reads.
+   */
   watch(prefix: string): StoreWatch;
 }
 
--- /dev/null
+++ b/src/store/SystemClock.ts
@@ -0,0 +1,17 @@
+import type { Clock, Disposable } from '../common/base/index.js';
+
+/** Clock of the running process. */
+export class SystemClock implements Clock {
+  public now(): Date {
+    return new Date();
+  }
+
+  public elapsed(): number {
+    return performance.now();
+  }
+
+  public after(delay: number, callback: () => void): Disposable {
+    const timer = setTimeout(callback, delay);
+    return { dispose: () => clearTimeout(timer) };
+  }
+}
