Judge targets by sequential tests on errors and slowness

A home needs to tell a sick target from one that had a few stragglers or a different mix of routes. Slow means above a limit learned for each route and bounded by the peers' present medians, so neither a change of mix nor a slowdown of the whole service counts. Running requests count when they grow too old, which finds silent targets before any timeout. Path evidence stays at the entry.

--- /dev/null
+++ b/src/common/health/HealthTracker.test.ts
@@ -0,0 +1,194 @@
+import { expect } from 'chai';
+import { xorshift128plus } from 'pure-rand/generator/xorshift128plus';
+import type { RandomSource } from '../base/index.js';
+import type { OutcomeKind } from '../services/Types.js';
+import { HealthTracker } from './HealthTracker.js';
+import type { PeerView, ProbeOutcome, Verdict } from './Types.js';
+
+const work: Readonly<Record<string, number>> = { short: 20, long: 1_000 };
+const seeds = [11, 23, 37];
+
+function randomFrom(seed: number): RandomSource {
+  const generator = xorshift128plus(seed);
+  return () => (generator.next() >>> 0) / 2 ** 32;
+}
+
+/** Traffic of one phase at 10 requests/s. */
+interface Phase {
+  readonly seconds: number;
+  readonly longShare?: number;
+  readonly slowness?: number;
+  readonly badShare?: number;
+  readonly bad?: OutcomeKind;
+  readonly badLatency?: number;
+  readonly stragglerShare?: number;
+  readonly probe?: ProbeOutcome['kind'];
+  readonly rate?: number;
+}
+
+interface Observation {
+  readonly worst: Verdict;
+  /** Seconds from the start of the last phase to the first suspicion. */
+  readonly suspectedAfter: number;
+}
+
+class Driver {
+  private now = 0;
+
+  public constructor(
+    public readonly tracker: HealthTracker,
+    private readonly random: RandomSource,
+  ) {}
+
+  public run(phase: Phase): Observation {
+    const { seconds, rate = 10 } = phase;
+    const start = this.now;
+    let worst = this.tracker.verdict(this.now);
+    let suspectedAfter = Infinity;
+    while (this.now < start + seconds * 1000) {
+      this.now += 1000 / rate;
+      this.request(phase);
+      const verdict = this.tracker.verdict(this.now);
+      if (verdict.severity > worst.severity) worst = verdict;
+      const isSuspected = verdict.health === 'suspect' || verdict.health === 'sick';
+      if (isSuspected) suspectedAfter = Math.min(suspectedAfter, (this.now - start) / 1000);
+    }
+    return { worst, suspectedAfter };
+  }
+
+  /** Lets the time pass while nothing ends. */
+  public wait(seconds: number): Verdict {
+    this.now += seconds * 1000;
+    return this.tracker.verdict(this.now);
+  }
+
+  public begin(count: number): void {
+    for (let index = 0; index < count; index += 1) this.tracker.begin('short', this.now);
+  }
+
+  private request(phase: Phase): void {
+    const { longShare = 0.1, slowness = 1, badShare = 0, bad = 'server-error' } = phase;
+    if (phase.probe !== undefined) this.tracker.recordProbe({ kind: phase.probe }, this.now);
+    const route = this.random() < longShare ? 'long' : 'short';
+    const straggling = this.random() < (phase.stragglerShare ?? 0) ? 50 : 1;
+    const spread = Math.exp(this.random() - 0.5);
+    const latency = (work[route] ?? 0) * slowness * straggling * spread;
+    if (this.random() < badShare) {
+      this.tracker.record({ kind: bad, route, latency: phase.badLatency ?? 1 }, this.now);
+    } else this.tracker.record({ kind: 'success', route, latency }, this.now);
+  }
+}
+
+const learning: Phase = { seconds: 120 };
+const failing = (bad: OutcomeKind): Phase => ({ seconds: 6, badShare: 1 / 3, bad });
+const slowPeers: PeerView = {
+  peers: 7,
+  errorRate: 0,
+  routes: new Map(Object.entries(work).map(([route, value]) => [route, value * 10])),
+};
+
+describe('HealthTracker', () => {
+  const healthyCases: readonly {
+    name: string;
+    phase: Phase;
+    peers?: PeerView;
+    isCold?: boolean;
+  }[] = [
+    { name: 'stragglers of 0.5%', phase: { seconds: 3_600, stragglerShare: 0.005 } },
+    { name: 'a change of mix to long work', phase: { seconds: 60, longShare: 0.9 } },
+    { name: 'shed load', phase: { seconds: 60, badShare: 0.9, bad: 'shed' } },
+    { name: 'cancelled requests', phase: { seconds: 60, badShare: 0.9, bad: 'cancelled' } },
+    {
+      name: 'timeouts of impatient callers',
+      phase: { seconds: 60, badShare: 0.5, bad: 'timeout', badLatency: 10 },
+    },
+    { name: 'a slowdown of all peers', phase: { seconds: 60, slowness: 10 }, peers: slowPeers },
+    {
+      name: 'errors of all peers',
+      phase: { seconds: 60, badShare: 0.3 },
+      peers: { peers: 7, errorRate: 0.3, routes: new Map() },
+    },
+    {
+      name: 'a health endpoint that lies about a healthy target',
+      phase: { seconds: 60, probe: 'unhealthy' },
+    },
+  ];
+  healthyCases.forEach(({ name, phase, peers }) => {
+    it(`does not suspect a target for ${name}`, () => {
+      seeds.forEach((seed) => {
+        const driver = new Driver(new HealthTracker(0), randomFrom(seed));
+        driver.run(learning);
+        if (peers !== undefined) driver.tracker.setPeers(peers);
+        const { suspectedAfter } = driver.run(phase);
+        expect(suspectedAfter, `seed ${seed}`).to.equal(Infinity);
+      });
+    });
+  });
+
+  const sickCases: readonly { name: string; phase: Phase; cause: string }[] = [
+    { name: '1 error in 3', phase: failing('server-error'), cause: 'errors' },
+    { name: '1 truncated answer in 3', phase: failing('truncated'), cause: 'errors' },
+    { name: '1 wrong answer in 3', phase: failing('invalid'), cause: 'errors' },
+    { name: '1 reset in 3', phase: failing('reset'), cause: 'errors' },
+    { name: 'a slowdown of 10', phase: { seconds: 6, slowness: 10 }, cause: 'slow' },
+    {
+      name: 'errors behind a health endpoint that calls itself well',
+      phase: { ...failing('server-error'), probe: 'healthy' },
+      cause: 'errors',
+    },
+    {
+      name: 'failing probes next to few requests',
+      phase: { seconds: 6, rate: 2, probe: 'unreachable' },
+      cause: 'errors',
+    },
+  ];
+  sickCases.forEach(({ name, phase, cause }) => {
+    it(`suspects a target within 6 s for ${name}`, () => {
+      seeds.forEach((seed) => {
+        const driver = new Driver(new HealthTracker(0), randomFrom(seed));
+        driver.run(learning);
+        const { worst, suspectedAfter } = driver.run(phase);
+        expect(suspectedAfter, `seed ${seed}`).to.be.at.most(6);
+        expect(worst.reason.cause).to.equal(cause);
+      });
+    });
+  });
+
+  const silentCases = [
+    { name: 'suspects a silent target by its running requests alone', running: 4, isSuspect: true },
+    { name: 'does not suspect a target for one hanging request', running: 1, isSuspect: false },
+  ];
+  silentCases.forEach(({ name, running, isSuspect }) => {
+    it(name, () => {
+      const driver = new Driver(new HealthTracker(0), randomFrom(11));
+      driver.run(learning);
+      driver.begin(running);
+      const verdicts = [driver.wait(0.5), driver.wait(0.5)];
+      const health = verdicts[1]?.health;
+      expect(health === 'suspect' || health === 'sick').to.equal(isSuspect);
+    });
+  });
+
+  it('finds a target that was slow before its home started, by its peers', () => {
+    const driver = new Driver(new HealthTracker(0), randomFrom(11));
+    driver.tracker.setPeers({ peers: 7, errorRate: 0, routes: new Map(Object.entries(work)) });
+    expect(driver.run({ seconds: 6, slowness: 10 }).suspectedAfter).to.be.at.most(6);
+  });
+
+  it('does not call a cold target sick for its slowness', () => {
+    const driver = new Driver(new HealthTracker(0), randomFrom(11));
+    driver.run(learning);
+    driver.tracker.reset(120_000, true);
+    expect(driver.run({ seconds: 20, slowness: 10 }).worst.health).not.to.equal('sick');
+  });
+
+  it('ignores requests that were sent before a trial', () => {
+    const tracker = new HealthTracker(0);
+    const flights = Array.from({ length: 5 }, () => tracker.begin('short', 0));
+    tracker.reset(1_000, false);
+    flights.forEach((flight) =>
+      tracker.record({ kind: 'timeout', route: 'short', latency: 10_000 }, 10_000, flight),
+    );
+    expect(tracker.verdict(10_000).health).to.equal('healthy');
+  });
+});
--- /dev/null
+++ b/src/common/health/PathTracker.test.ts
@@ -0,0 +1,30 @@
+import { expect } from 'chai';
+import { brandAs } from '../base/index.js';
+import type { DaemonId } from '../base/index.js';
+import { PathTracker } from './PathTracker.js';
+
+const home = brandAs<DaemonId>('home');
+const other = brandAs<DaemonId>('other');
+
+describe('PathTracker', () => {
+  const cases = [
+    { name: 'keeps full preference without failures', failures: 0, wait: 0, low: 1, high: 1 },
+    { name: 'lowers the preference after failures', failures: 4, wait: 0, low: 0.01, high: 0.1 },
+    {
+      name: 'never gives a home up, so that it sees the recovery',
+      failures: 99,
+      wait: 0,
+      low: 0.01,
+      high: 0.1,
+    },
+    { name: 'trusts the path again after a while', failures: 4, wait: 60_000, low: 0.9, high: 1 },
+  ];
+  cases.forEach(({ name, failures, wait, low, high }) => {
+    it(name, () => {
+      const tracker = new PathTracker();
+      for (let index = 0; index < failures; index += 1) tracker.record(home, 'timeout', 0);
+      expect(tracker.preference(home, wait)).to.be.within(low, high);
+      expect(tracker.preference(other, wait)).to.equal(1);
+    });
+  });
+});
