--- a/src/daemon/Forwarder.ts
+++ b/src/daemon/Forwarder.ts
@@ -13,6 +13,7 @@
 } from '../api/index.js';
 import type { Selector } from '../common/selection/Selector.js';
 import type { Choice, LoadRecorder } from '../common/selection/Types.js';
+import { discard } from './streams.js';
 import type { Directory, ForwardAnswer, HeaderPair, Home } from './Types.js';
 
 /** Request of a caller after routing. */
@@ -86,7 +87,7 @@
         // A refusal of the last attempt must not hide that an earlier one may have run.
         throw unknown ?? attempt.error;
       }
-      if ('answer' in attempt) attempt.answer.body.destroy();
+      if ('answer' in attempt) discard(attempt.answer.body);
       if (attempt.target !== undefined) avoid.add(attempt.target);
     }
   }
--- a/src/daemon/PeerServer.ts
+++ b/src/daemon/PeerServer.ts
@@ -13,6 +13,7 @@
 import type { RequestPart__Output as RequestPart } from './generated/limpettrack/RequestPart.js';
 import { decodeForwardRequest, encodeHeaders, encodeLoad } from './PeerMessages.js';
 import { channelOptions, Peer } from './PeerProtocol.js';
+import { discard } from './streams.js';
 import type { Home } from './Types.js';
 
 type ForwardCall = ServerDuplexStream<RequestPart, AnswerPart>;
@@ -144,7 +145,7 @@
       await writePart(call, { end: true });
     } catch {
       // The stream ends without an end part, which tells the entry that the body was cut.
-      body.destroy();
+      discard(body);
     }
   }
 }
--- a/src/daemon/ResumedBody.ts
+++ b/src/daemon/ResumedBody.ts
@@ -1,6 +1,7 @@
 import { Readable } from 'node:stream';
 import { OutcomeUnknownError } from '../api/index.js';
 import { findHeader } from './Headers.js';
+import { discard } from './streams.js';
 import type { ForwardAnswer, HeaderPair } from './Types.js';
 
 const maxResumes = 3;
@@ -54,7 +55,7 @@
         ['if-range', resumption.etag],
       ]);
       if (!continuesAt(next, offset, resumption)) {
-        next.body.destroy();
+        discard(next.body);
         throw new OutcomeUnknownError('the rest of the body has changed', {
           step: 'forward.resume',
         });
--- a/src/daemon/TargetClient.ts
+++ b/src/daemon/TargetClient.ts
@@ -13,6 +13,7 @@
   requestIdHeader,
   timeoutHeader,
 } from './Headers.js';
+import { discard } from './streams.js';
 import { TargetFailure } from './TargetFailure.js';
 import type { ForwardRequest, HeaderPair } from './Types.js';
 
@@ -124,7 +125,7 @@
     const echo = findHeader(raw, requestIdHeader);
     const isCrossed = echo !== undefined && echo !== request.context.id;
     if (isCrossed || !isFramed(status, request.method, raw)) {
-      body.destroy();
+      discard(body);
       const message = isCrossed ? 'answer belongs to another request' : 'answer has no length';
       throw this.createFailure('invalid', message);
     }
--- a/src/target/TargetServer.ts
+++ b/src/target/TargetServer.ts
@@ -32,13 +32,16 @@
 
 /**
  * Fake target. `GET PATH?size=BYTES&work=MS` answers with content that is fixed by the path, `POST`
- * counts a start and echoes the body, `PUT /.fault` sets faults, `GET /.starts` lists the starts.
+ * counts a start and echoes the body, `PUT /.fault` sets faults, `GET /.starts` lists the starts,
+ * `GET /.count` tells how many requests arrived.
  */
 export class TargetServer {
   private fault: FaultSettings = noFault;
 
   private running = 0;
 
+  private workCount = 0;
+
   private readonly queue: (() => void)[] = [];
 
   private readonly starts: StartRecord[] = [];
@@ -82,6 +85,7 @@
     const url = new URL(request.url ?? '/', 'http://target');
     if (url.pathname === '/.fault') await this.handleFault(request, response);
     else if (url.pathname === '/.starts') this.sendJson(response, 200, this.starts);
+    else if (url.pathname === '/.count') this.sendJson(response, 200, this.workCount);
     else if (url.pathname === '/.health') this.handleHealth(response);
     else await this.handleWork(request, response, url);
   }
@@ -111,6 +115,7 @@
     response: ServerResponse,
     url: URL,
   ): Promise<void> {
+    this.workCount += 1;
     const body = await readBody(request);
     const fault = this.activeFault();
     if (fault.isHalfOpen) return;
