Add membership: member table, gossip, failure detection, target directory

Records are joined by (incarnation, version, status) and, apart from that, by the version of the list of targets, so that a change of status does not carry the list. Exchanges list versions first and send only records that the peer lacks. A death that a peer claims is held as suspect until this daemon has checked it: when two regions meet again, taking the claims over would empty both views. The tests run whole fleets on the virtual clock.

--- /dev/null
+++ b/src/bench/simulation/MemberFleet.ts
@@ -0,0 +1,222 @@
+import { brandAs, createIncarnation, createRandom } from '../../common/base/index.js';
+import type {
+  DaemonId,
+  DataCentre,
+  RandomSource,
+  Region,
+  VirtualClock,
+} from '../../common/base/index.js';
+import { isGone } from '../../common/membership/MemberOrder.js';
+import type {
+  MemberRecord,
+  MemberTarget,
+  MemberUpdate,
+  PeerLink,
+  RevisionExchange,
+} from '../../common/membership/Types.js';
+import { FleetNode } from './FleetNode.js';
+
+/** Milliseconds one way inside a region. */
+const nearLatency = 0.5;
+
+/** Milliseconds one way between regions. */
+const farLatency = 10;
+
+/** Milliseconds after which a call without an answer fails. */
+const callTimeout = 1000;
+
+/** Message between two simulated daemons. */
+export interface FleetMessage {
+  readonly kind: 'exchange' | 'probe';
+  readonly sender: number;
+  readonly receiver: number;
+  readonly update?: MemberUpdate;
+}
+
+/** Settings of a simulated fleet. */
+export interface FleetOptions {
+  readonly clock: VirtualClock;
+  readonly seed: number;
+  readonly size: number;
+  /** Region and data centre of the daemon at an index. */
+  readonly placeOf?: (index: number) => { region: string; dataCentre: string };
+  readonly targetsOf?: (index: number) => readonly MemberTarget[];
+  readonly revisionsOf?: (index: number) => RevisionExchange;
+  readonly onMessage?: (message: FleetMessage) => void;
+}
+
+const noRevisions: RevisionExchange = {
+  revision: () => 0,
+  head: () => undefined,
+  offer: () => {},
+};
+
+/** Many daemons that run the real membership tasks on a virtual clock, joined by a link with faults. */
+export class MemberFleet {
+  public readonly nodes: FleetNode[] = [];
+
+  /** Whether packets from one daemon to another are lost. */
+  public isCut: (sender: number, receiver: number) => boolean = () => false;
+
+  private readonly random: RandomSource;
+
+  public constructor(private readonly options: FleetOptions) {
+    this.random = createRandom(options.seed);
+    for (let index = 0; index < options.size; index++) this.nodes.push(this.createNode(index));
+  }
+
+  public static idOf(index: number): DaemonId {
+    return brandAs<DaemonId>(`daemon-${String(index).padStart(4, '0')}`);
+  }
+
+  public start(): void {
+    this.nodes.forEach((node) => node.start());
+  }
+
+  /** Ends the process at an index without a word. */
+  public crash(index: number): void {
+    this.node(index).stop();
+  }
+
+  /** Starts a new process with the same id and address and a new incarnation. */
+  public restart(index: number): void {
+    this.crash(index);
+    this.nodes[index] = this.createNode(index);
+    this.node(index).start();
+  }
+
+  public node(index: number): FleetNode {
+    return this.nodes[index] as FleetNode;
+  }
+
+  public running(): FleetNode[] {
+    return this.nodes.filter(({ isUp }) => isUp);
+  }
+
+  /** Whether each running daemon holds exactly the running daemons as live, with equal digests. */
+  public isAgreed(): boolean {
+    const running = this.running();
+    const expected = running.map(({ table }) => table.self.id).sort();
+    const digests = new Set(running.map(({ table }) => table.digest()));
+    return digests.size === 1 && running.every((node) => MemberFleet.holds(node, expected));
+  }
+
+  /** Virtual milliseconds until the views agree, or `limit` if they do not. */
+  public async timeToAgreement(limit: number, step = 100): Promise<number> {
+    for (let waited = 0; waited < limit; waited += step) {
+      if (this.isAgreed()) return waited;
+      await this.options.clock.advanceAsync(step);
+    }
+    return limit;
+  }
+
+  public dispose(): void {
+    this.nodes.forEach((node) => node.stop());
+  }
+
+  private static holds({ table }: FleetNode, expected: readonly string[]): boolean {
+    const live = table.live();
+    const ids = live.map(({ id }) => id).sort();
+    const isSettled = live.every(({ status }) => status !== 'suspect' && !isGone(status));
+    return isSettled && ids.join() === expected.join();
+  }
+
+  private placeOf(index: number): { region: string; dataCentre: string } {
+    return this.options.placeOf?.(index) ?? { region: 'gam', dataCentre: 'gam-a' };
+  }
+
+  private createNode(index: number): FleetNode {
+    const { clock, seed, targetsOf, revisionsOf } = this.options;
+    const place = this.placeOf(index);
+    const record: MemberRecord = {
+      id: MemberFleet.idOf(index),
+      incarnation: createIncarnation(clock.now(), this.random() * 2 ** 32),
+      version: 1,
+      address: `10.${index >> 8}.${index & 255}.1:7400`,
+      adminAddress: `10.${index >> 8}.${index & 255}.1:7401`,
+      location: {
+        region: brandAs<Region>(place.region),
+        dataCentre: brandAs<DataCentre>(place.dataCentre),
+      },
+      status: 'alive',
+      targetsVersion: 1,
+      targets: targetsOf?.(index) ?? [],
+      revision: 0,
+      ranges: [],
+    };
+    const contacts = index === 0 ? [] : ['10.0.0.1:7400', '10.0.1.1:7400'];
+    const revisions = revisionsOf?.(index) ?? noRevisions;
+    const random = createRandom(seed * 100003 + index);
+    const link = this.linkOf(index);
+    return new FleetNode(index, record, clock, random, contacts, link, revisions);
+  }
+
+  private indexOf(address: string): number {
+    const [, high, low] = address.split(/[.:]/);
+    return Number(high) * 256 + Number(low);
+  }
+
+  private linkOf(sender: number): PeerLink {
+    return {
+      exchange: (address, update) => {
+        const receiver = this.indexOf(address);
+        const answer = (node: FleetNode): MemberUpdate => {
+          const answered = node.gossip.handle(update);
+          this.report({ kind: 'exchange', sender: receiver, receiver: sender, update: answered });
+          return answered;
+        };
+        this.report({ kind: 'exchange', sender, receiver, update });
+        return this.call(sender, receiver, (node) => Promise.resolve(answer(node)));
+      },
+      probe: (address, member) => {
+        const receiver = this.indexOf(address);
+        this.report({ kind: 'probe', sender, receiver });
+        return this.call(sender, receiver, (node) => {
+          this.report({ kind: 'probe', sender: receiver, receiver: sender });
+          return this.answerProbe(node, member);
+        });
+      },
+    };
+  }
+
+  private answerProbe(node: FleetNode, member: DaemonId | undefined): Promise<boolean> {
+    const record = member === undefined ? undefined : node.table.get(member);
+    if (record === undefined) return Promise.resolve(member === undefined);
+    return this.linkOf(node.index)
+      .probe(record.address)
+      .catch(() => false);
+  }
+
+  private report(message: FleetMessage): void {
+    this.options.onMessage?.(message);
+  }
+
+  private latency(sender: number, receiver: number): number {
+    const isNear = this.placeOf(sender).region === this.placeOf(receiver).region;
+    return isNear ? nearLatency : farLatency;
+  }
+
+  private call<Answer>(
+    sender: number,
+    receiver: number,
+    serve: (node: FleetNode) => Promise<Answer>,
+  ): Promise<Answer> {
+    const caller = this.node(sender);
+    const latency = this.latency(sender, receiver);
+    return new Promise((resolve, reject) => {
+      const timer = caller.clock.after(callTimeout, () => reject(new Error('call timed out')));
+      const succeed = (answer: Answer): void => {
+        if (this.isCut(receiver, sender)) return;
+        caller.clock.after(latency, () => {
+          timer.dispose();
+          resolve(answer);
+        });
+      };
+      const node = this.nodes[receiver];
+      if (node === undefined || this.isCut(sender, receiver)) return;
+      node.clock.after(latency, () => {
+        if (node.isUp) serve(node).then(succeed, reject);
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/common/membership/MemberTable.test.ts
@@ -0,0 +1,158 @@
+import { expect } from 'chai';
+import { VirtualClock, brandAs } from '../base/index.js';
+import type { DaemonId, DataCentre, Incarnation, Region } from '../base/index.js';
+import { MemberTable, tombstoneLifetime, tombstoneMargin } from './MemberTable.js';
+import type { MemberRecord, MemberTarget } from './Types.js';
+
+function createRecord(id: string, change: Partial<MemberRecord> = {}): MemberRecord {
+  return {
+    id: brandAs<DaemonId>(id),
+    incarnation: brandAs<Incarnation>('1-a'),
+    version: 1,
+    address: '127.0.0.1:1',
+    adminAddress: '127.0.0.1:2',
+    location: { region: brandAs<Region>('gam'), dataCentre: brandAs<DataCentre>('gam-a') },
+    status: 'alive',
+    targetsVersion: 1,
+    targets: [],
+    revision: 0,
+    ranges: [],
+    ...change,
+  };
+}
+
+const later = brandAs<Incarnation>('2-a');
+const other = brandAs<DaemonId>('b');
+
+function createTable(clock = new VirtualClock()): MemberTable {
+  return new MemberTable(createRecord('a'), clock);
+}
+
+describe('MemberTable', () => {
+  const cases = [
+    { name: 'a later version', held: {}, offered: { version: 2 }, result: [2, 'alive'] },
+    { name: 'an older version', held: { version: 3 }, offered: {}, result: [3, 'alive'] },
+    {
+      name: 'an old run with a high version',
+      held: { incarnation: later },
+      offered: { version: 9 },
+      result: [1, 'alive'],
+    },
+    {
+      name: 'a new run with a low version',
+      held: { version: 9 },
+      offered: { incarnation: later },
+      result: [1, 'alive'],
+    },
+    {
+      name: 'a stale live record over a tombstone',
+      held: { status: 'dead', version: 4 },
+      offered: { version: 4 },
+      result: [4, 'dead'],
+    },
+    {
+      name: 'an old run over a tombstone',
+      held: { status: 'left', incarnation: later },
+      offered: { version: 9 },
+      result: [1, 'left'],
+    },
+    {
+      name: 'a refutation of a suspicion',
+      held: { status: 'suspect', version: 4 },
+      offered: { version: 5 },
+      result: [5, 'alive'],
+    },
+    {
+      name: 'a death that others claim, held as suspect until checked',
+      held: {},
+      offered: { status: 'dead' },
+      result: [1, 'suspect'],
+    },
+    {
+      name: 'a death that the member stated itself',
+      held: {},
+      offered: { status: 'left', version: 2 },
+      result: [2, 'left'],
+    },
+  ] as const;
+  cases.forEach(({ name, held, offered, result }) => {
+    it(`merges ${name}`, () => {
+      const table = createTable();
+      table.merge(createRecord('b', held));
+      table.merge(createRecord('b', offered));
+      expect([table.get(other)?.version, table.get(other)?.status]).to.deep.equal(result);
+    });
+  });
+
+  it('refutes what others say of this daemon with a higher version', () => {
+    const table = createTable();
+    table.merge(createRecord('a', { status: 'dead', version: 7 }));
+    expect([table.self.version, table.self.status]).to.deep.equal([8, 'alive']);
+  });
+
+  it('stops claiming the id when a later run of it exists', () => {
+    const table = createTable();
+    let count = 0;
+    table.onSuperseded(() => {
+      count += 1;
+    });
+    table.merge(createRecord('a', { incarnation: later }));
+    table.updateSelf({ revision: 3 });
+    expect([count, table.get(table.self.id)?.incarnation]).to.deep.equal([1, later]);
+  });
+
+  it('keeps the list of targets when a record leaves it out, and asks for it when it has none', () => {
+    const targets = [{ id: 't', status: 'active' }] as unknown as MemberTarget[];
+    const full = createTable();
+    const bare = createTable();
+    full.merge(createRecord('b', { targets }));
+    const update = createRecord('b', { version: 2, targets: undefined });
+    [full, bare].forEach((table) => table.merge(update));
+    expect(full.get(other)?.targets).to.deep.equal(targets);
+    const { requests } = bare.delta([full.versionOf(other)]);
+    expect(bare.digest()).not.to.equal(full.digest());
+    bare.merge(full.delta(requests).records[0] as MemberRecord);
+    expect(bare.get(other)?.targets).to.deep.equal(targets);
+    expect(bare.digest()).to.equal(full.digest());
+  });
+
+  it('gives a peer exactly what it lacks and asks for what it holds more of', () => {
+    const table = createTable();
+    ['b', 'c', 'd'].forEach((id) => table.merge(createRecord(id, { version: 5 })));
+    const held = ['b', 'c', 'd'].map((id) => table.versionOf(brandAs<DaemonId>(id)));
+    const [same, behind, ahead] = held.map((version, index) => ({
+      ...version,
+      version: version.version + [0, -1, 1][index]!,
+    }));
+    const delta = table.delta([same!, behind!, ahead!]);
+    expect(delta.records.map(({ id }) => id)).to.deep.equal(['c']);
+    expect(delta.requests.map(({ id }) => id)).to.deep.equal(['d']);
+  });
+
+  it('never hands a tombstone around for ever between daemons that count its age differently', () => {
+    const clock = new VirtualClock();
+    const early = createTable(clock);
+    const late = createTable(clock);
+    early.merge(createRecord('b', { status: 'dead' }));
+    clock.advance(5000);
+    late.merge(early.exported(other, false) as MemberRecord);
+    clock.advance(tombstoneLifetime - tombstoneMargin - 4000);
+    const relayed = late.exported(other, false) as MemberRecord;
+    [early, late].forEach((table) => table.sweep());
+    expect(early.digest()).to.equal(late.digest());
+    clock.advance(tombstoneMargin);
+    [early, late].forEach((table) => table.sweep());
+    expect(early.get(other)).to.equal(undefined);
+    early.merge(relayed);
+    expect(early.get(other)).to.equal(undefined);
+  });
+
+  it('never declares a member that has said something newer', () => {
+    const table = createTable();
+    table.merge(createRecord('b'));
+    const seen = table.versionOf(other);
+    table.merge(createRecord('b', { version: 2 }));
+    expect(table.declare(seen, 'dead')).to.equal(false);
+    expect(table.get(other)?.status).to.equal('alive');
+  });
+});
--- a/src/common/services/Types.ts
+++ b/src/common/services/Types.ts
@@ -96,6 +96,8 @@
   /** Connections that it can hold. */
   readonly connections: number;
   readonly state: 'starting' | 'active' | 'draining';
+  /** Changes of home in this incarnation, counted by the target; orders the claims of two homes. Absent means 0. */
+  readonly move?: number;
 }
 
 /** State of a target as its home sees it. */
