Add a reader of INI files with a schema

Cause: the daemon's settings, the operators' settings and the presets need one reader that reports all mistakes of a file at once. Change: a schema of sections and keys with typed values and units.

--- /dev/null
+++ b/src/common/settings/Types.ts
@@ -0,0 +1,50 @@
+/** Types of the settings reader. */
+import type { Either } from 'fp-ts/lib/Either.js';
+
+/** Form of a value in an INI file. */
+export interface ValueKind<Value> {
+  /** What is allowed, for error messages, such as `a duration such as 250 ms or 3 s`. */
+  readonly allowed: string;
+  /** Reads a value; the left side says what is wrong with it. */
+  readonly parse: (text: string) => Either<string, Value>;
+}
+
+/** One key of a section. */
+export interface Field<Value> {
+  readonly kind: ValueKind<Value>;
+  readonly isRequired: boolean;
+  /** Value of an absent key that is not required. */
+  readonly fallback: Value | undefined;
+}
+
+/** Keys of a section by their names in the file. */
+export type Fields = Readonly<Record<string, Field<unknown>>>;
+
+/** Section that occurs once: `[daemon]`. It can be absent when none of its keys is required. */
+export interface SingleSection<Members extends Fields = Fields> {
+  readonly type: 'single';
+  readonly fields: Members;
+}
+
+/** Section that occurs once for each name: `[service catalogo]`. */
+export interface NamedSection<Members extends Fields = Fields> {
+  readonly type: 'named';
+  readonly fields: Members;
+}
+
+/** Sections of a file by their first word. */
+export type Schema = Readonly<Record<string, SingleSection | NamedSection>>;
+
+/** Values of a section. */
+export type FieldValues<Members extends Fields> = {
+  readonly [Key in keyof Members]: Members[Key] extends Field<infer Value> ? Value : never;
+};
+
+/** Values of a file: an object for each single section, a map by name for each named one. */
+export type Settings<Shape extends Schema> = {
+  readonly [Name in keyof Shape]: Shape[Name] extends NamedSection<infer Members>
+    ? ReadonlyMap<string, FieldValues<Members>>
+    : Shape[Name] extends SingleSection<infer Members>
+      ? FieldValues<Members>
+      : never;
+};
--- /dev/null
+++ b/src/common/settings/index.ts
@@ -0,0 +1,4 @@
+export * from './kinds.js';
+export * from './schema.js';
+export * from './SettingsReader.js';
+export type * from './Types.js';
