Connect daemons by gossip and run them as separate processes

Membership joins the member table, gossip, failure detection and target announcements to the peer protocol. limpettrackd reads its settings from an INI file. A stopping daemon first hands its targets over.

--- a/addons/log-consola/ConsolaSink.ts
+++ b/addons/log-consola/ConsolaSink.ts
@@ -11,7 +11,7 @@
 
 const jsonReporter: ConsolaReporter = {
   log: ({ date, type, args }) => {
-    const [line] = args as [LogLine];
+    const [, line] = args as [string, LogLine];
     const { kind, message, fields } = line;
     process.stdout.write(
       `${JSON.stringify({ time: date, level: type, kind, message, ...fields })}\n`,
@@ -21,7 +21,7 @@
 
 const textReporter: ConsolaReporter = {
   log: ({ date, type, args }) => {
-    const [line] = args as [LogLine];
+    const [, line] = args as [string, LogLine];
     const fields = Object.entries(line.fields)
       .filter(([, value]) => value !== undefined)
       .map(([name, value]) => `${name}=${value}`)
@@ -41,7 +41,8 @@
   }
 
   public write(line: LogLine): void {
-    this.consola[line.level](line);
+    // consola takes apart an object that comes first, so the message goes before it.
+    this.consola[line.level](line.message, line);
   }
 }
 
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { json } from 'node:stream/consumers';
+import { isLeft } from 'fp-ts/lib/Either.js';
 import {
   brandAs,
   createIncarnation,
@@ -10,11 +11,9 @@
   type LogSink,
   type RandomSource,
   type RequestId,
-  type ServiceName,
   type TargetAnnouncement,
-  type TargetEntry,
-  type TargetId,
 } from '../api/index.js';
+import { largestShare, RetryBudget } from '../common/retry/RetryBudget.js';
 import { RouteTable } from '../common/routing/RouteTable.js';
 import { CrossRegionBudget } from '../common/selection/CrossRegionBudget.js';
 import { LoadTable } from '../common/selection/LoadTable.js';
@@ -22,17 +21,21 @@
 import { AdminServer } from './AdminServer.js';
 import { DecisionLog } from './DecisionLog.js';
 import { Forwarder, type RoutedRequest } from './Forwarder.js';
+import { GrpcPeerLink } from './GrpcPeerLink.js';
 import { HttpFront } from './HttpFront.js';
 import { LocalHome } from './LocalHome.js';
+import { Membership } from './Membership.js';
 import { PeerConnections } from './PeerConnections.js';
 import { PeerServer } from './PeerServer.js';
 import { RemoteHome } from './RemoteHome.js';
 import { RequestMetrics } from './RequestMetrics.js';
-import { sendJson } from './Responses.js';
+import { sendJson, sendText } from './Responses.js';
 import type { DaemonSettings } from './Settings.js';
-import type { Directory, ForwardAnswer, Home, Identity } from './Types.js';
+import type { ForwardAnswer, Home, Identity } from './Types.js';
 
 const announcePath = '/.limpettrack/targets/';
+/** Milliseconds until a target that did not move to another home has lost its announcement here. */
+const handOverLimit = 4_000;
 const randomRange = 0x1_0000_0000;
 
 /** What a daemon takes from its process. */
@@ -73,9 +76,7 @@
 
   private readonly homes = new Map<string, Home>();
 
-  private readonly announced = new Map<TargetId, TargetEntry>();
-
-  private routes = new RouteTable([]);
+  private readonly membership: Membership;
 
   private requestCount = 0;
 
@@ -93,11 +94,13 @@
     this.log = new DecisionLog(sink, settings.routeSample, random, () => clock.now());
     this.home = this.disposables.add(new LocalHome(clock, () => 100));
     this.connections = this.disposables.add(new PeerConnections());
-    this.peerServer = this.disposables.add(new PeerServer(this.home, {}));
+    this.membership = this.disposables.add(this.createMembership());
+    this.peerServer = this.disposables.add(new PeerServer(this.home, this.membership.handlers()));
     this.admin = this.disposables.add(new AdminServer());
     this.forwarder = this.createForwarder();
     this.front = this.disposables.add(this.createFront());
     this.addAdminHandlers();
+    this.disposables.add(this.membership.announcements.onGone(({ id }) => this.home.remove(id)));
   }
 
   /** Opens the sockets and returns their ports; throws if an address cannot be bound. */
@@ -106,19 +109,23 @@
     const peer = await this.peerServer.listen(settings.peer);
     const admin = await this.admin.listen(settings.admin);
     const callers = await this.front.listen(settings.callers);
+    this.membership.start();
     this.logLifecycle('serving');
     return { peer, admin, callers };
   }
 
-  /** Graceful shutdown: no request in flight is cut. */
+  /** Graceful shutdown: targets move to other homes, callers leave, and no request in flight is cut. */
   public async stop(): Promise<void> {
     this.logLifecycle('stopping');
     this.front.announceStop();
-    await new Promise<void>((resolve) => {
+    const notice = new Promise<void>((resolve) => {
       this.environment.clock.after(this.settings.notice, resolve);
     });
+    await Promise.all([this.membership.handOver(handOverLimit), notice]);
+    this.membership.leave();
     await this.front.drain();
     await this.peerServer.drain();
+    this.membership.end();
     this.logLifecycle('stopped');
     this.dispose();
   }
@@ -137,28 +144,37 @@
     });
   }
 
+  private createMembership(): Membership {
+    const { clock, random } = this.environment;
+    return new Membership({
+      identity: this.identity,
+      adminAddress: this.settings.admin,
+      contacts: this.settings.peers,
+      link: new GrpcPeerLink(this.connections),
+      clock,
+      random,
+      log: this.log,
+      revisions: { revision: () => 0, head: () => undefined, offer: () => {} },
+    });
+  }
+
   private createForwarder(): Forwarder {
     const { clock, random } = this.environment;
-    const directory: Directory = {
-      candidates: (service: ServiceName) =>
-        [...this.announced.values()].filter((target) => target.service === service),
-      addressOf: () => undefined,
-    };
     const crossRegion = new CrossRegionBudget(() => 1_000_000, clock);
     return new Forwarder({
       clock,
-      directory,
+      directory: this.membership,
       selector: new Selector(this.identity.location, random, { pathPenalty: () => 0, crossRegion }),
       loads: new LoadTable(clock),
-      retries: { recordRequest: () => {}, takeRetry: () => true },
+      retries: new RetryBudget(() => largestShare, clock),
       log: this.log,
-      homeOf: (daemon) => this.homeOf(daemon, directory),
+      homeOf: (daemon) => this.homeOf(daemon),
     });
   }
 
-  private homeOf(daemon: DaemonId, directory: Directory): Home {
+  private homeOf(daemon: DaemonId): Home {
     if (daemon === this.identity.id) return this.home;
-    const address = directory.addressOf(daemon) ?? '';
+    const address = this.membership.addressOf(daemon) ?? '';
     let home = this.homes.get(address);
     if (home === undefined) {
       home = new RemoteHome(address, this.connections);
@@ -171,7 +187,7 @@
     return new HttpFront({
       clock: this.environment.clock,
       log: this.log,
-      routes: () => this.routes,
+      routes: () => this.createRoutes(),
       forwarder: this.forwarder,
       runOperation: (request, signal) => this.runOperation(request, signal),
       internal: () => Promise.resolve(false),
@@ -182,6 +198,17 @@
     });
   }
 
+  private createRoutes(): RouteTable {
+    return new RouteTable(
+      this.membership.targets.services().map((service) => ({
+        name: service,
+        service,
+        path: `/${service}`,
+        workClass: 'interactive' as const,
+      })),
+    );
+  }
+
   private createRequestId(): RequestId {
     this.requestCount += 1;
     const { id, incarnation } = this.identity;
@@ -206,22 +233,12 @@
 
   private async announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const announcement = (await json(request)) as TargetAnnouncement;
+    const taken = this.membership.announcements.announce(announcement);
+    if (isLeft(taken)) {
+      sendText(response, 409, taken.left);
+      return;
+    }
     this.home.announce(announcement);
-    this.announced.set(announcement.id, {
-      ...announcement,
-      home: this.identity.id,
-      location: this.identity.location,
-      status: 'active',
-      share: 1,
-    });
-    this.routes = new RouteTable(
-      [...this.announced.values()].map(({ service }) => ({
-        name: service,
-        service,
-        path: `/${service}`,
-        workClass: 'interactive' as const,
-      })),
-    );
     sendJson(response, 200, {});
   }
 }
--- /dev/null
+++ b/src/daemon/Membership.ts
@@ -0,0 +1,153 @@
+import {
+  brandAs,
+  DisposableStore,
+  type Clock,
+  type DaemonId,
+  type Disposable,
+  type LogSink,
+  type RandomSource,
+  type ServiceName,
+  type TargetEntry,
+} from '../api/index.js';
+import { FailureDetector } from '../common/membership/FailureDetector.js';
+import { GossipTask } from '../common/membership/GossipTask.js';
+import { MemberTable } from '../common/membership/MemberTable.js';
+import { Prober } from '../common/membership/Prober.js';
+import { TargetAnnouncements } from '../common/membership/TargetAnnouncements.js';
+import { TargetDirectory } from '../common/membership/TargetDirectory.js';
+import type { PeerLink, RevisionExchange } from '../common/membership/Types.js';
+import type { PeerHandlers } from './generated/limpettrack/Peer.js';
+import { decodeUpdate, encodeUpdate } from './MembershipMessages.js';
+import { createUnaryHandler } from './PeerServer.js';
+import type { Directory, Identity } from './Types.js';
+
+/** Milliseconds between two looks at the targets that have not moved yet. */
+const handOverCheck = 100;
+
+/** What the membership of a daemon depends on. */
+export interface MembershipSettings {
+  readonly identity: Identity;
+  readonly adminAddress: string;
+  readonly contacts: readonly string[];
+  readonly link: PeerLink;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: LogSink;
+  readonly revisions: RevisionExchange;
+}
+
+/** The fleet as this daemon sees it: members, their targets, and the targets announced here. */
+export class Membership implements Directory, Disposable {
+  public readonly table: MemberTable;
+
+  public readonly announcements: TargetAnnouncements;
+
+  public readonly targets: TargetDirectory;
+
+  private readonly disposables = new DisposableStore();
+
+  private readonly gossip: GossipTask;
+
+  private readonly detector: FailureDetector;
+
+  public constructor(private readonly settings: MembershipSettings) {
+    const { identity, clock, random, log, link } = settings;
+    this.table = this.disposables.add(
+      new MemberTable(
+        {
+          id: identity.id,
+          incarnation: identity.incarnation,
+          version: 1,
+          address: identity.address,
+          adminAddress: settings.adminAddress,
+          location: identity.location,
+          status: 'alive',
+          targetsVersion: 1,
+          targets: [],
+          revision: 0,
+          ranges: [],
+        },
+        clock,
+      ),
+    );
+    this.announcements = this.disposables.add(new TargetAnnouncements(clock));
+    this.targets = this.disposables.add(new TargetDirectory(this.table));
+    this.gossip = this.disposables.add(
+      new GossipTask({ ...settings, table: this.table, contacts: settings.contacts }),
+    );
+    const { table, gossip } = this;
+    this.detector = this.disposables.add(
+      new FailureDetector({
+        table,
+        prober: new Prober({ table, link, clock, random }),
+        clock,
+        random,
+        notify: (member) => gossip.notify(member),
+        log,
+      }),
+    );
+    this.disposables.add(
+      this.announcements.onChange(() => table.updateSelf({ targets: this.announcements.list() })),
+    );
+  }
+
+  /** Starts gossip and failure detection. */
+  public start(): void {
+    this.gossip.start();
+    this.detector.start();
+  }
+
+  /** Takes no more announcements and resolves when all targets have moved to another home, at the latest after `limit` ms. */
+  public async handOver(limit: number): Promise<void> {
+    const { clock } = this.settings;
+    this.announcements.close();
+    const end = clock.elapsed() + limit;
+    while (this.announcements.list().length > 0 && clock.elapsed() < end) {
+      await new Promise<void>((resolve) => {
+        clock.after(handOverCheck, resolve);
+      });
+    }
+  }
+
+  /** Tells the peers that this daemon takes no new work. */
+  public leave(): void {
+    this.table.updateSelf({ status: 'leaving' });
+    this.gossip.announceNow();
+  }
+
+  /** Tells the peers that this daemon has ended. */
+  public end(): void {
+    this.table.updateSelf({ status: 'left' });
+    this.gossip.announceNow();
+  }
+
+  public candidates(service: ServiceName): readonly TargetEntry[] {
+    return this.targets.choosable(service);
+  }
+
+  public addressOf(daemon: DaemonId): string | undefined {
+    return this.table.get(daemon)?.address;
+  }
+
+  /** Handlers of the membership calls of peers. */
+  public handlers(): Pick<PeerHandlers, 'Exchange' | 'Probe'> {
+    return {
+      Exchange: createUnaryHandler(async (update) =>
+        encodeUpdate(this.gossip.handle(decodeUpdate(update))),
+      ),
+      Probe: createUnaryHandler(async ({ member }) => this.probe(member)),
+    };
+  }
+
+  public dispose(): void {
+    this.disposables.dispose();
+  }
+
+  private async probe(member: string): Promise<{ reachable: boolean }> {
+    if (member === '' || member === this.settings.identity.id) return { reachable: true };
+    const address = this.addressOf(brandAs<DaemonId>(member));
+    if (address === undefined) return { reachable: false };
+    const reachable = await this.settings.link.probe(address).catch(() => false);
+    return { reachable };
+  }
+}
--- a/src/daemon/TargetClient.ts
+++ b/src/daemon/TargetClient.ts
@@ -95,8 +95,9 @@
     }
   }
 
+  /** Closes idle connections at once and the others when their requests have ended. */
   public dispose(): void {
-    void this.pool.destroy();
+    void this.pool.close();
   }
 
   private dispatch(
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,66 @@
+#!/usr/bin/env node
+import { isLeft } from 'fp-ts/lib/Either.js';
+import { Builtins, Cli, Command, Option } from 'clipanion';
+import { createRandom, logSinks } from '../api/index.js';
+import { badSettingsExitCode } from '../common/settings/index.js';
+import { Daemon } from './Daemon.js';
+import { readSettings } from './Settings.js';
+import { SystemClock } from './SystemClock.js';
+import './plugins.js';
+
+const usageExitCode = 64;
+
+/** Runs a daemon until SIGTERM or SIGINT, or checks its settings. */
+class DaemonCommand extends Command {
+  public static override readonly paths = [Command.Default];
+
+  public static override readonly usage = Command.Usage({
+    description: 'Runs a limpettrack daemon.',
+    details:
+      'SIGTERM is a graceful shutdown. Exit codes: 0 stopped, 64 wrong arguments, 78 wrong settings.',
+    examples: [
+      ['Run', '$0 --settings daemon.ini'],
+      ['Check a file', '$0 --check daemon.ini'],
+    ],
+  });
+
+  private readonly settings = Option.String('--settings', { description: 'INI file to run with' });
+
+  private readonly check = Option.String('--check', { description: 'INI file to check only' });
+
+  public async execute(): Promise<number> {
+    const file = this.check ?? this.settings;
+    if (file === undefined) {
+      this.context.stderr.write('either --settings FILE or --check FILE is needed\n');
+      return usageExitCode;
+    }
+    const settings = readSettings(file);
+    if (isLeft(settings)) {
+      this.context.stderr.write(`${settings.left.problems.join('\n')}\n`);
+      return badSettingsExitCode;
+    }
+    if (this.check !== undefined) {
+      this.context.stdout.write(`${file}: no problems\n`);
+      return 0;
+    }
+    const { logSink, logLevel } = settings.right;
+    const daemon = new Daemon(settings.right, {
+      clock: new SystemClock(),
+      sink: logSinks.get(logSink)(logLevel),
+      random: createRandom(Date.now() ^ process.pid),
+    });
+    const stopped = new Promise<void>((resolve) => {
+      process.once('SIGTERM', resolve);
+      process.once('SIGINT', resolve);
+    });
+    await daemon.start();
+    await stopped;
+    await daemon.stop();
+    return 0;
+  }
+}
+
+const cli = new Cli({ binaryName: 'limpettrackd', binaryLabel: 'limpettrack daemon' });
+cli.register(DaemonCommand);
+cli.register(Builtins.HelpCommand);
+await cli.runExit(process.argv.slice(2));
--- a/src/target/Announcer.ts
+++ b/src/target/Announcer.ts
@@ -11,6 +11,9 @@
 
   private homeIndex = 0;
 
+  /** Counts changes of home, so that daemons know which of two homes is the later one. */
+  private move = 0;
+
   private timer: NodeJS.Timeout | undefined;
 
   private isDisposed = false;
@@ -47,6 +50,7 @@
       const home = this.homes[this.homeIndex % this.homes.length];
       if (home !== undefined && (await this.announceTo(home))) return;
       this.homeIndex += 1;
+      this.move += 1;
     }
   }
 
@@ -56,7 +60,7 @@
       const response = await request(`http://${home}/.limpettrack/targets/${id}`, {
         method: 'PUT',
         headers: { 'content-type': 'application/json' },
-        body: JSON.stringify({ ...this.announcement, state: this.state }),
+        body: JSON.stringify({ ...this.announcement, state: this.state, move: this.move }),
         signal: AbortSignal.timeout(requestTimeout),
       });
       await response.body.dump();
--- a/test/Fleet.ts
+++ b/test/Fleet.ts
@@ -15,6 +15,7 @@
     admin: '127.0.0.1:0',
     peers: [],
     store: [],
+    storeAdapter: 'etcd',
     logSink: 'none',
     logLevel: 'error',
     routeSample: 1,
