--- a/addons/log-consola/ConsolaSink.test.ts
+++ b/addons/log-consola/ConsolaSink.test.ts
@@ -12,10 +12,10 @@
 function capture(action: () => void): string {
   const { write } = process.stdout;
   let text = '';
-  process.stdout.write = ((chunk: string) => {
+  process.stdout.write = (chunk: string) => {
     text += chunk;
     return true;
-  }) as typeof process.stdout.write;
+  };
   try {
     action();
   } finally {
