--- /dev/null
+++ b/src/bench/operations/FakeStoreClient.ts
@@ -0,0 +1,109 @@
+import {
+  StoreError,
+  type Clock,
+  type RandomSource,
+  type Store,
+  type StoreCompare,
+  type StoreEntry,
+  type StoreRange,
+  type StoreTransaction,
+  type StoreWatch,
+  type StoreWrite,
+} from '../../api/index.js';
+import type { FakeStore } from './FakeStore.js';
+import type { StoreFaults } from './Types.js';
+
+/** Milliseconds of one way to the store. */
+const oneWay = 1.5;
+/** Milliseconds after which a client gives up a call. */
+const clientTimeout = 1000;
+/** Milliseconds by which a late write takes effect after the client gave up. */
+const longestLateness = 8000;
+
+/** Faults of a healthy way to the store. */
+export function noFaults(): StoreFaults {
+  return { isRequestCut: false, isAnswerCut: false, lostShare: 0, lateShare: 0, slowness: 1 };
+}
+
+/** Way of one process to the store. Answers arrive on the clock of the process. */
+export class FakeStoreClient implements Store {
+  public constructor(
+    private readonly store: FakeStore,
+    private readonly clock: Clock,
+    private readonly faults: StoreFaults,
+    private readonly random: RandomSource,
+  ) {}
+
+  public get(key: string): Promise<StoreEntry | undefined> {
+    return this.call('store.get', false, () => this.store.get(key));
+  }
+
+  public range(range: StoreRange): Promise<readonly StoreEntry[]> {
+    return this.call('store.range', false, () => this.store.range(range));
+  }
+
+  public transact(
+    compares: readonly StoreCompare[],
+    writes: readonly StoreWrite[],
+  ): Promise<StoreTransaction> {
+    return this.call('store.transact', true, () => this.store.transact(compares, writes));
+  }
+
+  public grantLease(duration: number): Promise<string> {
+    return this.call('store.grantLease', false, () => this.store.grantLease(duration));
+  }
+
+  public keepAlive(lease: string): Promise<void> {
+    return this.call('store.keepAlive', false, () => this.store.keepAlive(lease));
+  }
+
+  public revokeLease(lease: string): Promise<void> {
+    return this.call('store.revokeLease', false, () => this.store.revokeLease(lease));
+  }
+
+  public watch(prefix: string): StoreWatch {
+    return this.store.watch(prefix);
+  }
+
+  public dispose(): void {}
+
+  private call<Value>(step: string, canBeLate: boolean, apply: () => Value): Promise<Value> {
+    return new Promise((resolve, reject) => {
+      this.clock.after(clientTimeout, () => {
+        reject(new StoreError('the store did not answer', 'unknown', { step }));
+      });
+      const isLate = canBeLate && this.random() < this.faults.lateShare;
+      const lateness = isLate ? clientTimeout + this.random() * longestLateness : 0;
+      // The network and the store go on while the process is paused, so they use the store's clock.
+      this.store.clock.after(this.delay() + lateness, () => this.serve(apply, resolve, reject));
+    });
+  }
+
+  private serve<Value>(
+    apply: () => Value,
+    resolve: (value: Value) => void,
+    reject: (error: unknown) => void,
+  ): void {
+    if (this.store.isDown || this.faults.isRequestCut) return;
+    const answer = FakeStoreClient.try(apply, resolve, reject);
+    const isLost = this.faults.isAnswerCut || this.random() < this.faults.lostShare;
+    if (!isLost) this.store.clock.after(this.delay(), () => this.clock.after(0, answer));
+  }
+
+  private static try<Value>(
+    apply: () => Value,
+    resolve: (value: Value) => void,
+    reject: (error: unknown) => void,
+  ): () => void {
+    try {
+      const value = apply();
+      return () => resolve(value);
+    } catch (error) {
+      return () => reject(error);
+    }
+  }
+
+  private delay(): number {
+    return oneWay * this.faults.slowness * (0.5 + this.random());
+  }
+}
--- /dev/null
+++ b/src/bench/operations/Types.ts
@@ -0,0 +1,60 @@
+/** Interfaces of the simulated fleet for keyed operations. */
+
+/** Faults of the way between one process and the store. */
+export interface StoreFaults {
+  /** Calls do not reach the store. */
+  isRequestCut: boolean;
+  /** Calls take effect, but no answer arrives. */
+  isAnswerCut: boolean;
+  /** Share of single calls whose answer is lost. */
+  lostShare: number;
+  /** Share of writes that take effect only after the caller has given up. */
+  lateShare: number;
+  /** Factor on the latency. */
+  slowness: number;
+}
+
+/** Calls that a fake store has served. */
+export interface StoreCounters {
+  writes: number;
+  reads: number;
+  /** Bytes of the values written, by the first part of the key. */
+  readonly bytes: Map<string, number>;
+  /** Values written, by the first part of the key. */
+  readonly values: Map<string, number>;
+}
+
+/** Event of a history. All times are `Clock.elapsed` of the simulation. */
+export type HistoryEvent =
+  /** A caller sent a request; `attempt` is unique. */
+  | {
+      readonly type: 'sent';
+      readonly at: number;
+      readonly attempt: number;
+      readonly key: string;
+      readonly content: string;
+    }
+  /** A target started the operation for an attempt. */
+  | {
+      readonly type: 'started';
+      readonly at: number;
+      readonly attempt: number;
+      readonly key: string;
+      readonly target: string;
+    }
+  /** The caller got an answer. `content` names the request that a done answer is for. */
+  | {
+      readonly type: 'answered';
+      readonly at: number;
+      readonly attempt: number;
+      readonly key: string;
+      readonly outcome: string;
+      readonly content?: string;
+    };
+
+/** Rule that a history breaks. */
+export interface Violation {
+  readonly rule: 'started-twice' | 'false-not-run' | 'wrong-answer';
+  readonly key: string;
+  readonly events: readonly HistoryEvent[];
+}
--- /dev/null
+++ b/src/common/operations/AuthorityRouting.test.ts
@@ -0,0 +1,89 @@
+import { expect } from 'chai';
+import { brandAs, type DaemonId, type Incarnation, type OperationKey } from '../base/index.js';
+import { textHash } from '../../bench/operations/TestHash.js';
+import { locateAuthority } from './AuthorityRouting.js';
+import { candidateOf, rangeOf } from './KeyRanges.js';
+import type { AuthorityMember } from './Types.js';
+
+const own = brandAs<OperationKey>('my-key');
+const range = rangeOf(own, textHash);
+const issued = brandAs<OperationKey>('issued.b.2-x.1.sig');
+
+function member(id: string, changes: Partial<AuthorityMember> = {}): AuthorityMember {
+  return {
+    id: brandAs<DaemonId>(id),
+    incarnation: brandAs<Incarnation>('2-x'),
+    isLive: true,
+    ranges: [],
+    ...changes,
+  };
+}
+
+function describeLocation(
+  key: OperationKey,
+  others: readonly AuthorityMember[],
+  excluded: readonly string[] = [],
+): string {
+  const view = { self: member('a'), others, hash: textHash };
+  const location = locateAuthority(key, view, new Set(excluded.map(brandAs<DaemonId>)));
+  return location.type === 'member' ? location.member.id : location.type;
+}
+
+describe('locateAuthority', () => {
+  const ids = ['a', 'b', 'c'].map(brandAs<DaemonId>);
+  const candidate = candidateOf(range, ids, textHash);
+  const later = member('b', { incarnation: brandAs<Incarnation>('3-x') });
+  const former = member('b', { incarnation: brandAs<Incarnation>('1-x') });
+  const cases = [
+    { name: 'an issued key to its issuer', key: issued, others: [member('b')], expected: 'b' },
+    {
+      name: 'no key to a later run of its issuer, which does not know what ran',
+      key: issued,
+      others: [later],
+      expected: 'ended',
+    },
+    {
+      name: 'no key to an earlier run of its issuer, whose later run is not known here yet',
+      key: issued,
+      others: [former],
+      expected: 'away',
+    },
+    { name: 'no key to an unknown issuer', key: issued, others: [], expected: 'away' },
+    {
+      name: 'an own key to the daemon that owns its range',
+      key: own,
+      others: [member('b', { ranges: [range] }), member('c')],
+      expected: 'b',
+    },
+    {
+      name: 'an own key to a suspect owner rather than to nobody in particular',
+      key: own,
+      others: [member('b', { ranges: [range], isLive: false }), member('c')],
+      expected: 'b',
+    },
+    {
+      name: 'an own key to a live owner before a suspect one',
+      key: own,
+      others: [member('b', { ranges: [range], isLive: false }), member('c', { ranges: [range] })],
+      expected: 'c',
+    },
+    {
+      name: 'an own key of a range without an owner to the candidate',
+      key: own,
+      others: [member('b'), member('c')],
+      expected: candidate === 'a' ? 'self' : candidate,
+    },
+    {
+      name: 'an own key past a daemon that has just said it is not the owner',
+      key: own,
+      others: [member('b', { ranges: [range] })],
+      excluded: ['b'],
+      expected: 'self',
+    },
+  ];
+  cases.forEach(({ name, key, others, excluded, expected }) => {
+    it(`sends ${name}`, () => {
+      expect(describeLocation(key, others, excluded)).to.equal(expected);
+    });
+  });
+});
--- /dev/null
+++ b/src/common/operations/Deadline.ts
@@ -0,0 +1,23 @@
+import type { Clock } from '../base/index.js';
+
+/** Result of `before` when the time came first. */
+export const expired = Symbol('expired');
+
+/** Waits for a promise, but no longer than to `deadline` (`Clock.elapsed`). Rejects if the promise does. */
+export function before<Value>(
+  clock: Clock,
+  deadline: number,
+  promise: Promise<Value>,
+): Promise<Value | typeof expired> {
+  return new Promise((resolve, reject) => {
+    const timer = clock.after(deadline - clock.elapsed(), () => resolve(expired));
+    promise.then(resolve, reject).finally(() => timer.dispose());
+  });
+}
+
+/** Resolves after `delay` milliseconds. */
+export function sleep(clock: Clock, delay: number): Promise<void> {
+  return new Promise((resolve) => {
+    clock.after(delay, resolve);
+  });
+}
--- /dev/null
+++ b/src/common/operations/OperationAuthority.ts
@@ -0,0 +1,116 @@
+import type { Clock, OperationKey } from '../base/index.js';
+import { parseIssuedKey, type IssuedKeys } from './IssuedKeys.js';
+import { rangeOf } from './KeyRanges.js';
+import { memoryIntentLog } from './MemoryIntentLog.js';
+import type { OperationLedger } from './OperationLedger.js';
+import { OperationRunner, type Records } from './OperationRunner.js';
+import type {
+  Dispatch,
+  OperationRequest,
+  OperationResult,
+  RangeNumber,
+  TextHash,
+} from './Types.js';
+
+/** What an authority is built from. */
+export interface AuthorityContext<Payload> {
+  readonly clock: Clock;
+  readonly hash: TextHash;
+  readonly issuedKeys: IssuedKeys;
+  /** Ledger of the keys that this incarnation issued. */
+  readonly issuedLedger: OperationLedger;
+  /** Records of a range that this daemon owns. */
+  readonly recordsOf: (range: RangeNumber) => Records | undefined;
+  readonly dispatch: Dispatch<Payload>;
+}
+
+/** Decides whether a keyed operation may start, runs it and remembers its outcome. */
+export class OperationAuthority<Payload> {
+  private active = 0;
+
+  public constructor(private readonly context: AuthorityContext<Payload>) {}
+
+  /** Operations under way. */
+  public get activeCount(): number {
+    return this.active;
+  }
+
+  /** Runs an operation at most once for its key. `moved` means that this daemon is not its authority. */
+  public async operate(request: OperationRequest<Payload>): Promise<OperationResult> {
+    const refusal = this.checkIssued(request);
+    if (refusal !== undefined) return refusal;
+    const records = this.findRecords(request.key);
+    if (records === undefined) return { outcome: 'moved' };
+    const { clock, dispatch } = this.context;
+    this.active += 1;
+    try {
+      return await new OperationRunner(request, records, clock, dispatch).run();
+    } finally {
+      this.active -= 1;
+    }
+  }
+
+  /** Outcome of a key without starting anything. Throws `StoreError` if the store is needed and does not answer. */
+  public async outcome(key: OperationKey): Promise<OperationResult> {
+    const records = this.findRecords(key);
+    if (records === undefined) return { outcome: 'moved' };
+    const decision = records.ledger.look(key);
+    switch (decision?.type) {
+      case 'answer':
+        return { outcome: 'done', answer: decision.answer, isReplayed: true };
+      case 'wait':
+        return { outcome: 'pending', message: 'the operation has not ended yet' };
+      case 'archived':
+        return this.readArchived(records, key, decision.sequence);
+      case 'unknown':
+        return { outcome: 'unknown', message: 'the operation may have been run' };
+      default:
+        return this.reportAbsent(records, key);
+    }
+  }
+
+  /** Forgets the operations of expired issued keys. */
+  public forgetExpired(): void {
+    const { issuedKeys, issuedLedger } = this.context;
+    issuedLedger.forget((key) => issuedKeys.isExpired(key));
+  }
+
+  private findRecords(key: OperationKey): Records | undefined {
+    const { hash, issuedKeys, issuedLedger, recordsOf } = this.context;
+    if (parseIssuedKey(key) === undefined) return recordsOf(rangeOf(key, hash));
+    return issuedKeys.isOwn(key) ? { ledger: issuedLedger, log: memoryIntentLog } : undefined;
+  }
+
+  private checkIssued(request: OperationRequest<Payload>): OperationResult | undefined {
+    const { issuedKeys } = this.context;
+    const { key, isFirst } = request;
+    if (!issuedKeys.isOwn(key) || !issuedKeys.isExpired(key)) return undefined;
+    const message = 'the key has expired';
+    // The operation may have been run and forgotten.
+    if (!isFirst) return { outcome: 'unknown', message };
+    return { outcome: 'not-run', reason: 'bad-request', message };
+  }
+
+  private async readArchived(
+    records: Records,
+    key: OperationKey,
+    sequence: number,
+  ): Promise<OperationResult> {
+    const record = await records.log.read(sequence, key);
+    if (record === undefined) return this.reportAbsent(records, key);
+    return { outcome: 'done', answer: record.answer, isReplayed: true };
+  }
+
+  private async reportAbsent(records: Records, key: OperationKey): Promise<OperationResult> {
+    const { issuedKeys } = this.context;
+    if (issuedKeys.isOwn(key) && issuedKeys.isExpired(key)) {
+      return { outcome: 'unknown', message: 'the key has expired' };
+    }
+    if (!(await records.log.confirm())) return { outcome: 'moved' };
+    return {
+      outcome: 'not-run',
+      reason: 'no-route',
+      message: 'no operation with this key has started',
+    };
+  }
+}
--- /dev/null
+++ b/src/common/operations/OperationLedger.test.ts
@@ -0,0 +1,144 @@
+import { expect } from 'chai';
+import { brandAs, type Fingerprint, type OperationKey } from '../base/index.js';
+import { textHash } from '../../bench/operations/TestHash.js';
+import { OperationLedger } from './OperationLedger.js';
+import type { JournalRecord } from './Types.js';
+
+const key = brandAs<OperationKey>('k');
+const print = brandAs<Fingerprint>('f');
+const otherPrint = brandAs<Fingerprint>('g');
+const answer = { status: 200, headers: [], body: new Uint8Array() };
+const limits = { operations: 3, recentAnswers: 1 };
+
+function createLedger(): OperationLedger {
+  return new OperationLedger(textHash, limits);
+}
+
+describe('OperationLedger', () => {
+  const cases: readonly {
+    name: string;
+    prepare: (ledger: OperationLedger) => void;
+    fingerprint?: Fingerprint;
+    expected: string;
+  }[] = [
+    { name: 'lets a new key begin', prepare: () => {}, expected: 'record' },
+    {
+      name: 'keeps a resend from starting beside an intended operation',
+      prepare: (ledger) => ledger.begin(key, print),
+      expected: 'wait',
+    },
+    {
+      name: 'keeps a resend from starting beside a started operation',
+      prepare: (ledger) => {
+        ledger.begin(key, print);
+        ledger.start(key, 1);
+      },
+      expected: 'wait',
+    },
+    {
+      name: 'gives the recorded answer to a resend',
+      prepare: (ledger) => {
+        ledger.begin(key, print);
+        ledger.start(key, 1);
+        ledger.finish(key, answer);
+      },
+      expected: 'answer',
+    },
+    {
+      name: 'never restarts a lost operation',
+      prepare: (ledger) => {
+        ledger.begin(key, print);
+        ledger.start(key, 1);
+        ledger.lose(key, 'reset');
+      },
+      expected: 'unknown',
+    },
+    {
+      name: 'lets a key begin again that was not run',
+      prepare: (ledger) => {
+        ledger.begin(key, print);
+        ledger.release(key, { type: 'moved' });
+      },
+      expected: 'record',
+    },
+    {
+      name: 'does not answer another request with the answer of this one',
+      prepare: (ledger) => {
+        ledger.begin(key, otherPrint);
+        ledger.start(key, 1);
+        ledger.finish(key, answer);
+      },
+      expected: 'mismatch',
+    },
+    {
+      name: 'refuses what it cannot remember instead of forgetting what it must',
+      prepare: (ledger) =>
+        ['a', 'b', 'c'].forEach((text) => ledger.begin(brandAs<OperationKey>(text), print)),
+      expected: 'full',
+    },
+  ];
+  cases.forEach(({ name, prepare, fingerprint = print, expected }) => {
+    it(name, () => {
+      const ledger = createLedger();
+      prepare(ledger);
+      expect(ledger.begin(key, fingerprint).type).to.equal(expected);
+    });
+  });
+
+  const intent: JournalRecord = { type: 'intent', key, fingerprint: print };
+  const release: JournalRecord = { type: 'release', key };
+  const done: JournalRecord = { type: 'done', key, fingerprint: print, answer };
+  const replays = [
+    { name: 'an intent without an outcome as unknown', records: [intent], expected: 'unknown' },
+    { name: 'a finished operation as archived', records: [intent, done], expected: 'archived' },
+    { name: 'a released intent as new', records: [intent, release], expected: 'record' },
+    {
+      name: 'an intent after a release as unknown',
+      records: [intent, release, intent],
+      expected: 'unknown',
+    },
+  ];
+  replays.forEach(({ name, records, expected }) => {
+    it(`replays ${name}, so that a successor starts only what never started`, () => {
+      const ledger = createLedger();
+      records.forEach((record, index) => ledger.replay(record, index + 1));
+      expect(ledger.begin(key, print).type).to.equal(expected);
+    });
+  });
+
+  it('does not start an operation that was released meanwhile', () => {
+    const ledger = createLedger();
+    ledger.begin(key, print);
+    ledger.abandon();
+    expect(ledger.start(key, 1)).to.equal(false);
+  });
+
+  it('forgets generations and lost operations only at the end of the retention', () => {
+    const ledger = createLedger();
+    ledger.replay(done, 4);
+    ledger.replay({ ...intent, key: brandAs<OperationKey>('lost') }, 5);
+    ledger.forgetThrough(3);
+    expect(ledger.size).to.equal(2);
+    ledger.forgetThrough(5);
+    expect(ledger.size).to.equal(0);
+  });
+
+  it('moves old answers to the archive, so that memory does not grow with them', () => {
+    const ledger = new OperationLedger(textHash, { operations: 100, recentAnswers: 2 });
+    const keys = ['a', 'b', 'c', 'd'].map((text) => brandAs<OperationKey>(text));
+    keys.forEach((one, index) => {
+      ledger.begin(one, print);
+      ledger.start(one, index + 1);
+      ledger.finish(one, answer);
+      ledger.noteWritten(one, index + 10);
+    });
+    const found = keys.map((one) => ledger.begin(one, print));
+    expect(found.map(({ type }) => type)).to.deep.equal([
+      'archived',
+      'archived',
+      'answer',
+      'answer',
+    ]);
+    expect(found[0]).to.include({ sequence: 10 });
+  });
+});
--- /dev/null
+++ b/src/common/operations/OperationLedger.ts
@@ -0,0 +1,218 @@
+import type { Fingerprint, OperationKey } from '../base/index.js';
+import type { RecordedAnswer } from '../services/Types.js';
+import { ArchiveIndex } from './ArchiveIndex.js';
+import type { Decision, JournalRecord, Settlement, TextHash } from './Types.js';
+
+type State = 'intended' | 'started' | 'done' | 'unknown';
+
+interface Entry {
+  readonly fingerprint: Fingerprint;
+  state: State;
+  answer?: RecordedAnswer;
+  /** Journal segment that holds the answer or, before there is one, the intent. */
+  sequence?: number;
+  waiters?: ((settlement: Settlement) => void)[];
+}
+
+interface Generation {
+  readonly index: ArchiveIndex;
+  lastSequence: number;
+}
+
+/** Bounds on the memory of a ledger. */
+export interface LedgerLimits {
+  /** Operations that the ledger remembers in all. Beyond that new ones are refused. */
+  readonly operations: number;
+  /** Finished operations whose answers stay in memory; older ones are read from the journal. */
+  readonly recentAnswers: number;
+}
+
+/**
+ * State machine of keyed operations: intended, started, then done or unknown. It forgets a key only when its
+ * operation was not run, or by `forget` and `forgetThrough` at the end of the retention.
+ */
+export class OperationLedger {
+  private readonly entries = new Map<OperationKey, Entry>();
+
+  /** Finished operations in order of their segments, waiting to be archived. */
+  private recent: OperationKey[] = [];
+
+  private generations: Generation[] = [];
+
+  public constructor(
+    private readonly hash: TextHash,
+    private readonly limits: LedgerLimits,
+  ) {}
+
+  /** Operations that the ledger remembers. */
+  public get size(): number {
+    return this.generations.reduce((sum, { index }) => sum + index.size, this.entries.size);
+  }
+
+  /** Decides about a key. On `record` it counts as intended from here on. */
+  public begin(key: OperationKey, fingerprint: Fingerprint): Decision {
+    const entry = this.entries.get(key);
+    if (entry !== undefined) return OperationLedger.decide(entry, fingerprint);
+    const sequence = this.findArchived(key);
+    if (sequence !== undefined) return { type: 'archived', sequence };
+    return this.admit(key, fingerprint);
+  }
+
+  /** As `begin` for a key whose archive hit was a collision of hashes. */
+  public admit(key: OperationKey, fingerprint: Fingerprint): Decision {
+    const entry = this.entries.get(key);
+    if (entry !== undefined) return OperationLedger.decide(entry, fingerprint);
+    if (this.size >= this.limits.operations) return { type: 'full' };
+    this.entries.set(key, { fingerprint, state: 'intended' });
+    return { type: 'record' };
+  }
+
+  /** What is known of a key; undefined if nothing is. */
+  public look(key: OperationKey): Decision | undefined {
+    const entry = this.entries.get(key);
+    if (entry !== undefined) return OperationLedger.decide(entry, entry.fingerprint);
+    const sequence = this.findArchived(key);
+    return sequence === undefined ? undefined : { type: 'archived', sequence };
+  }
+
+  /** Marks an operation as started whose intent is in segment `sequence`. Returns false if it may not start. */
+  public start(key: OperationKey, sequence: number): boolean {
+    const entry = this.entries.get(key);
+    if (entry?.state !== 'intended') return false;
+    entry.state = 'started';
+    entry.sequence = sequence;
+    return true;
+  }
+
+  /** Records the answer of a started operation; without an answer the outcome is still known. */
+  public finish(key: OperationKey, answer?: RecordedAnswer): void {
+    const entry = this.entries.get(key);
+    if (entry === undefined) return;
+    entry.state = 'done';
+    entry.answer = answer;
+    OperationLedger.settle(entry, { type: 'done', answer });
+  }
+
+  /** Forgets an operation that was not run; its key may begin again. */
+  public release(key: OperationKey, settlement: Settlement): void {
+    const entry = this.entries.get(key);
+    if (entry === undefined) return;
+    this.entries.delete(key);
+    OperationLedger.settle(entry, settlement);
+  }
+
+  /** Marks a started operation whose outcome cannot be learned. It never starts again. */
+  public lose(key: OperationKey, message: string): void {
+    const entry = this.entries.get(key);
+    if (entry === undefined) return;
+    entry.state = 'unknown';
+    OperationLedger.settle(entry, { type: 'unknown', message });
+  }
+
+  /** Notes that a finished operation is in a journal segment, so that its answer need not stay in memory. */
+  public noteWritten(key: OperationKey, sequence: number): void {
+    const entry = this.entries.get(key);
+    if (entry?.state !== 'done') return;
+    entry.sequence = sequence;
+    this.recent.push(key);
+    if (this.recent.length >= this.limits.recentAnswers * 2) this.archiveOldest();
+  }
+
+  /** Applies a record of a former owner's journal. An intent without an answer becomes unknown. */
+  public replay(record: JournalRecord, sequence: number): void {
+    switch (record.type) {
+      case 'intent':
+        this.entries.set(record.key, {
+          fingerprint: record.fingerprint,
+          state: 'unknown',
+          sequence,
+        });
+        break;
+      case 'release':
+        this.entries.delete(record.key);
+        break;
+      default:
+        this.entries.delete(record.key);
+        this.archive(record.key, sequence);
+    }
+  }
+
+  /** Starts a new generation of the archive; `forgetThrough` forgets whole generations. */
+  public startGeneration(): void {
+    this.generations.push({ index: new ArchiveIndex(this.hash), lastSequence: 0 });
+  }
+
+  /** Forgets ended operations whose segments are at or below `sequence`; archived ones by whole generations. */
+  public forgetThrough(sequence: number): void {
+    this.generations = this.generations.filter(({ lastSequence }) => lastSequence > sequence);
+    this.entries.forEach((entry, key) => {
+      const hasEnded = entry.state === 'done' || entry.state === 'unknown';
+      const isOld = entry.sequence !== undefined && entry.sequence <= sequence;
+      if (hasEnded && isOld) this.entries.delete(key);
+    });
+  }
+
+  /** Forgets ended operations whose keys are no longer valid. */
+  public forget(isForgotten: (key: OperationKey) => boolean): void {
+    this.entries.forEach((entry, key) => {
+      const hasEnded = entry.state === 'done' || entry.state === 'unknown';
+      if (hasEnded && isForgotten(key)) this.entries.delete(key);
+    });
+  }
+
+  /** Settles all operations that have not started, when this process loses the range. */
+  public abandon(): void {
+    this.entries.forEach((entry, key) => {
+      if (entry.state === 'intended') this.release(key, { type: 'moved' });
+    });
+  }
+
+  /** Bytes of the archive's tables. */
+  public get archiveBytes(): number {
+    return this.generations.reduce((sum, { index }) => sum + index.bytes, 0);
+  }
+
+  private archiveOldest(): void {
+    const oldest = this.recent.slice(0, this.limits.recentAnswers);
+    this.recent = this.recent.slice(this.limits.recentAnswers);
+    oldest.forEach((key) => {
+      const entry = this.entries.get(key);
+      if (entry?.state !== 'done' || entry.sequence === undefined) return;
+      this.entries.delete(key);
+      this.archive(key, entry.sequence);
+    });
+  }
+
+  private archive(key: OperationKey, sequence: number): void {
+    if (this.generations.length === 0) this.startGeneration();
+    const last = this.generations[this.generations.length - 1];
+    if (last === undefined) return;
+    last.index.set(key, sequence);
+    last.lastSequence = Math.max(last.lastSequence, sequence);
+  }
+
+  private findArchived(key: OperationKey): number | undefined {
+    // The newest generation first: it holds the latest segment of the key.
+    for (let at = this.generations.length - 1; at >= 0; at -= 1) {
+      const sequence = this.generations[at]?.index.get(key);
+      if (sequence !== undefined) return sequence;
+    }
+    return undefined;
+  }
+
+  private static decide(entry: Entry, fingerprint: Fingerprint): Decision {
+    if (entry.fingerprint !== fingerprint) return { type: 'mismatch' };
+    if (entry.state === 'done') return { type: 'answer', answer: entry.answer };
+    if (entry.state === 'unknown') return { type: 'unknown' };
+    const settled = new Promise<Settlement>((resolve) => {
+      entry.waiters = [...(entry.waiters ?? []), resolve];
+    });
+    return { type: 'wait', settled };
+  }
+
+  private static settle(entry: Entry, settlement: Settlement): void {
+    const waiters = entry.waiters ?? [];
+    entry.waiters = undefined;
+    waiters.forEach((resolve) => resolve(settlement));
+  }
+}
--- /dev/null
+++ b/src/common/operations/OperationRunner.ts
@@ -0,0 +1,175 @@
+import type { Clock, RefusalReason } from '../base/index.js';
+import { before, expired } from './Deadline.js';
+import { FencedError } from './FencedError.js';
+import type { OperationLedger } from './OperationLedger.js';
+import type {
+  Decision,
+  Dispatch,
+  DispatchResult,
+  IntentLog,
+  OperationRequest,
+  OperationResult,
+  Settlement,
+} from './Types.js';
+
+/** Where the operations of one authority are remembered and recorded. */
+export interface Records {
+  readonly ledger: OperationLedger;
+  readonly log: IntentLog;
+}
+
+/** Runs one operation against a ledger and a log. Holds every rule on when it may start. */
+export class OperationRunner<Payload> {
+  private readonly arrival: number;
+
+  public constructor(
+    private readonly request: OperationRequest<Payload>,
+    private readonly records: Records,
+    private readonly clock: Clock,
+    private readonly dispatch: Dispatch<Payload>,
+  ) {
+    this.arrival = clock.elapsed();
+  }
+
+  /** Decides, and starts the operation if nothing is known of its key. */
+  public async run(): Promise<OperationResult> {
+    const { key, fingerprint } = this.request;
+    return this.follow(this.records.ledger.begin(key, fingerprint));
+  }
+
+  private async follow(decision: Decision): Promise<OperationResult> {
+    switch (decision.type) {
+      case 'record':
+        return this.recordAndStart();
+      case 'wait':
+        return this.join(decision.settled);
+      case 'answer':
+        return { outcome: 'done', answer: decision.answer, isReplayed: true };
+      case 'archived':
+        return this.readArchived(decision.sequence);
+      case 'unknown':
+        return { outcome: 'unknown', message: 'the operation may have been run' };
+      case 'mismatch':
+        return { outcome: 'mismatch' };
+      default:
+        return this.refuse('limit', 'no memory is left to remember another operation');
+    }
+  }
+
+  private async recordAndStart(): Promise<OperationResult> {
+    const { key, fingerprint, deadline } = this.request;
+    const { ledger, log } = this.records;
+    const intent = log.record({ type: 'intent', key, fingerprint });
+    const sequence = await before(this.clock, deadline, intent.durable).catch((error: unknown) => {
+      if (error instanceof FencedError) return undefined;
+      throw error;
+    });
+    if (sequence === undefined) {
+      ledger.release(key, { type: 'moved' });
+      return { outcome: 'moved' };
+    }
+    // After a pause the intent can be durable although the deadline has passed.
+    if (sequence === expired || this.clock.elapsed() >= deadline) {
+      this.release(intent.cancel(), 'store-away', 'the intent was not recorded in time');
+      return this.refuse('store-away', 'the intent was not recorded in time');
+    }
+    if (!ledger.start(key, sequence)) return { outcome: 'moved' };
+    return this.start();
+  }
+
+  private async start(): Promise<OperationResult> {
+    const { payload, deadline } = this.request;
+    const timeout = deadline - this.clock.elapsed();
+    const running = this.dispatch(payload, timeout).catch((error: unknown): DispatchResult => ({
+      type: 'unknown',
+      message: String(error),
+    }));
+    const recorded = running.then((result) => this.recordResult(result));
+    const result = await before(this.clock, deadline, recorded);
+    return result === expired ? OperationRunner.pending() : result;
+  }
+
+  private recordResult(result: DispatchResult): OperationResult {
+    const { key, fingerprint } = this.request;
+    const { ledger, log } = this.records;
+    switch (result.type) {
+      case 'done':
+        ledger.finish(key, result.answer);
+        log.append({ type: 'done', key, fingerprint, answer: result.answer });
+        return { outcome: 'done', answer: result.answer, isReplayed: false };
+      case 'not-run':
+        this.release(false, result.reason, result.message);
+        // The intent was written after the request arrived, which confirmed this authority.
+        return { outcome: 'not-run', reason: result.reason, message: result.message };
+      default:
+        ledger.lose(key, result.message);
+        return { outcome: 'unknown', message: result.message };
+    }
+  }
+
+  /** Forgets an operation that was not started and never will be by this request. */
+  private release(isWithdrawn: boolean, reason: RefusalReason, message: string): void {
+    const { key } = this.request;
+    const { ledger, log } = this.records;
+    const isKnown = this.request.isFirst || log.isConfirmedSince(this.arrival);
+    const settlement: Settlement = isKnown
+      ? { type: 'not-run', reason, message }
+      : { type: 'unknown', message };
+    ledger.release(key, settlement);
+    if (!isWithdrawn) log.append({ type: 'release', key });
+  }
+
+  private async join(settled: Promise<Settlement>): Promise<OperationResult> {
+    const settlement = await before(this.clock, this.request.deadline, settled);
+    if (settlement === expired) return OperationRunner.pending();
+    switch (settlement.type) {
+      case 'done':
+        return { outcome: 'done', answer: settlement.answer, isReplayed: true };
+      case 'not-run':
+        return this.refuse(settlement.reason, settlement.message);
+      case 'moved':
+        return { outcome: 'moved' };
+      default:
+        return { outcome: 'unknown', message: settlement.message };
+    }
+  }
+
+  private async readArchived(sequence: number): Promise<OperationResult> {
+    const { key, fingerprint, deadline } = this.request;
+    const { ledger, log } = this.records;
+    const reading = log.read(sequence, key).catch((): typeof expired => expired);
+    const record = await before(this.clock, deadline, reading);
+    if (record === expired) {
+      return { outcome: 'unknown', message: 'the recorded answer cannot be read at present' };
+    }
+    if (record === undefined) return this.follow(ledger.admit(key, fingerprint));
+    if (record.fingerprint !== fingerprint) return { outcome: 'mismatch' };
+    return { outcome: 'done', answer: record.answer, isReplayed: true };
+  }
+
+  /**
+   * Refuses as not run if that is certain. A ledger is complete only while its owner is the authority, and a
+   * former owner that cannot reach the store does not know that it was replaced.
+   */
+  private async refuse(reason: RefusalReason, message: string): Promise<OperationResult> {
+    const isCertain = this.request.isFirst || (await this.isConfirmed());
+    if (isCertain) return { outcome: 'not-run', reason, message };
+    return {
+      outcome: 'unknown',
+      message: `${message}, and the store has not confirmed who owns the key`,
+    };
+  }
+
+  private async isConfirmed(): Promise<boolean> {
+    const { log } = this.records;
+    if (log.isConfirmedSince(this.arrival)) return true;
+    if (this.clock.elapsed() >= this.request.deadline) return false;
+    const confirming = log.confirm().catch(() => false);
+    const answer = await before(this.clock, this.request.deadline, confirming);
+    return answer === true;
+  }
+
+  private static pending(): OperationResult {
+    return { outcome: 'pending', message: 'the operation has not ended yet' };
+  }
+}
--- /dev/null
+++ b/src/common/operations/Quarantine.ts
@@ -0,0 +1,190 @@
+import {
+  brandAs,
+  type Clock,
+  type Disposable,
+  type Fingerprint,
+  type Incarnation,
+  type LogSink,
+  type TargetId,
+} from '../base/index.js';
+import type { Store, StoreEntry } from '../services/Types.js';
+
+const prefix = 'quarantine/';
+/** Crashes of targets after which a fingerprint is refused: it must not reach a third target. */
+const crashLimit = 2;
+/** Milliseconds after its last crash at which a fingerprint is no longer suspect or quarantined. */
+const lifetime = 60 * 60 * 1000;
+/** Crashes that are forgotten first when more fingerprints than this are suspect. */
+const suspectLimit = 10_000;
+
+/** Loss of a target with requests in flight. */
+export interface TargetCrash {
+  readonly target: TargetId;
+  readonly incarnation: Incarnation;
+  readonly fingerprints: readonly Fingerprint[];
+}
+
+/** What is known of a fingerprint that was in flight at a crash. */
+export interface QuarantineEntry {
+  readonly fingerprint: Fingerprint;
+  /** Target and incarnation of each crash. */
+  readonly crashes: readonly string[];
+  /** Wall-clock time of the last crash in milliseconds. */
+  readonly crashedAt: number;
+}
+
+/** Standing of a fingerprint. */
+export type Standing = 'clear' | 'suspect' | 'quarantined';
+
+/** What the quarantine is built from. */
+export interface QuarantineContext {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly log: LogSink;
+}
+
+function keyOf(fingerprint: Fingerprint): string {
+  return `${prefix}${fingerprint}`;
+}
+
+function parse(entry: StoreEntry): QuarantineEntry {
+  const text = new TextDecoder().decode(entry.value);
+  const value = JSON.parse(text) as { crashes: string[]; crashedAt: number };
+  return { fingerprint: brandAs<Fingerprint>(entry.key.slice(prefix.length)), ...value };
+}
+
+/**
+ * Refuses requests that crashed two targets. A fingerprint that completes is cleared, and suspects run apart from
+ * each other (`mayRunWith`), so that a request that was only present at a crash is not condemned.
+ */
+export class Quarantine implements Disposable {
+  private readonly entries = new Map<Fingerprint, QuarantineEntry>();
+
+  private watch: Disposable | undefined;
+
+  private isDisposed = false;
+
+  public constructor(private readonly context: QuarantineContext) {}
+
+  /** Reads the store's records and follows their changes. Throws `StoreError`; local decisions work without it. */
+  public async load(): Promise<void> {
+    const { store } = this.context;
+    this.watch?.dispose();
+    const watch = store.watch(prefix);
+    this.watch = watch;
+    watch.onChange(({ type, entry }) => {
+      if (type === 'put') this.merge(parse(entry));
+      else this.entries.delete(brandAs<Fingerprint>(entry.key.slice(prefix.length)));
+    });
+    (await store.range({ prefix })).map(parse).forEach((entry) => this.merge(entry));
+  }
+
+  /** Standing of a fingerprint. */
+  public check(fingerprint: Fingerprint): Standing {
+    const entry = this.find(fingerprint);
+    if (entry === undefined) return 'clear';
+    return entry.crashes.length >= crashLimit ? 'quarantined' : 'suspect';
+  }
+
+  /** Whether a fingerprint may run on a target beside those in flight: two suspects never share a target. */
+  public mayRunWith(fingerprint: Fingerprint, inFlight: Iterable<Fingerprint>): boolean {
+    if (this.check(fingerprint) !== 'suspect') return this.check(fingerprint) === 'clear';
+    return [...inFlight].every((other) => other === fingerprint || this.check(other) !== 'suspect');
+  }
+
+  /** Notes a crash; the same crash counts once for a fingerprint. */
+  public async reportCrash(crash: TargetCrash): Promise<void> {
+    const name = `${crash.target}/${crash.incarnation}`;
+    const changed = crash.fingerprints.map((fingerprint) => this.addCrash(fingerprint, name));
+    await Promise.all(changed.map((entry) => this.save(entry)));
+  }
+
+  /** Clears a suspect that was run to its end. A quarantined fingerprint stays. */
+  public async recordCompletion(fingerprint: Fingerprint): Promise<void> {
+    if (this.check(fingerprint) === 'suspect') await this.clear(fingerprint);
+  }
+
+  /** Quarantined fingerprints, for operators. */
+  public list(): readonly QuarantineEntry[] {
+    return [...this.entries.values()].filter(
+      ({ fingerprint }) => this.check(fingerprint) === 'quarantined',
+    );
+  }
+
+  /** Clears a fingerprint. Returns false if the store did not take it yet. */
+  public async clear(fingerprint: Fingerprint): Promise<boolean> {
+    this.entries.delete(fingerprint);
+    try {
+      await this.context.store.transact([], [{ type: 'delete', key: keyOf(fingerprint) }]);
+      return true;
+    } catch (error) {
+      this.warn(fingerprint, error);
+      return false;
+    }
+  }
+
+  public dispose(): void {
+    this.isDisposed = true;
+    this.watch?.dispose();
+  }
+
+  private find(fingerprint: Fingerprint): QuarantineEntry | undefined {
+    const entry = this.entries.get(fingerprint);
+    if (entry === undefined) return undefined;
+    if (this.context.clock.now().getTime() - entry.crashedAt < lifetime) return entry;
+    this.entries.delete(fingerprint);
+    return undefined;
+  }
+
+  private addCrash(fingerprint: Fingerprint, crash: string): QuarantineEntry {
+    const crashedAt = this.context.clock.now().getTime();
+    return this.merge({ fingerprint, crashes: [crash], crashedAt });
+  }
+
+  private merge(entry: QuarantineEntry): QuarantineEntry {
+    const known = this.find(entry.fingerprint);
+    const crashes = [...new Set([...(known?.crashes ?? []), ...entry.crashes])].sort();
+    const crashedAt = Math.max(known?.crashedAt ?? 0, entry.crashedAt);
+    const merged = { fingerprint: entry.fingerprint, crashes, crashedAt };
+    this.entries.set(entry.fingerprint, merged);
+    if (known === undefined && this.entries.size > suspectLimit) this.dropOldestSuspect();
+    return merged;
+  }
+
+  private dropOldestSuspect(): void {
+    const oldest = [...this.entries.keys()].find((one) => this.check(one) === 'suspect');
+    if (oldest !== undefined) this.entries.delete(oldest);
+  }
+
+  /** Adds a local entry to the store's record. The local cache holds until the store answers. */
+  private async save(entry: QuarantineEntry): Promise<void> {
+    try {
+      while (!this.isDisposed && !(await this.trySave(entry.fingerprint)));
+    } catch (error) {
+      this.warn(entry.fingerprint, error);
+    }
+  }
+
+  private async trySave(fingerprint: Fingerprint): Promise<boolean> {
+    const { store } = this.context;
+    const key = keyOf(fingerprint);
+    const present = await store.get(key);
+    if (present !== undefined) this.merge(parse(present));
+    const entry = this.find(fingerprint);
+    // It was cleared meanwhile.
+    if (entry === undefined) return true;
+    const content = { crashes: entry.crashes, crashedAt: entry.crashedAt };
+    const value = new TextEncoder().encode(JSON.stringify(content));
+    const compare = { key, modRevision: present?.modRevision ?? 0 };
+    return (await store.transact([compare], [{ type: 'put', key, value }])).applied;
+  }
+
+  private warn(fingerprint: Fingerprint, error: unknown): void {
+    this.context.log.write({
+      level: 'warn',
+      kind: 'operation',
+      message: 'cannot write a quarantine record',
+      fields: { fingerprint, error: String(error), step: 'quarantine.save' },
+    });
+  }
+}
--- /dev/null
+++ b/src/common/operations/RangeOwnership.ts
@@ -0,0 +1,239 @@
+import {
+  Emitter,
+  type Clock,
+  type DaemonId,
+  type Disposable,
+  type Incarnation,
+  type LogSink,
+  type RandomSource,
+} from '../base/index.js';
+import type { Store } from '../services/Types.js';
+import { before } from './Deadline.js';
+import { Journal } from './Journal.js';
+import { candidateOf, rangeCount } from './KeyRanges.js';
+import { OperationLedger, type LedgerLimits } from './OperationLedger.js';
+import { leaseDuration, OwnerRecords } from './OwnerRecords.js';
+import type { AuthorityMember, RangeNumber, TextHash } from './Types.js';
+
+/** Milliseconds between two looks at the ranges that have no owner. */
+const checkInterval = 1000;
+const renewInterval = (leaseDuration * 1000) / 3;
+/**
+ * Milliseconds between two looks at a range that another live daemon says it owns. That daemon may be cut off from
+ * the store, so its word is not enough.
+ */
+const claimedCheckInterval = leaseDuration * 1000;
+/** Milliseconds between two deletions of old segments. 100 segments are 12.5 s of writing at the full rate. */
+const deletionInterval = 10_000;
+const generationInterval = 60 * 60 * 1000;
+
+/** What the ownership of ranges is built from. */
+export interface OwnershipContext {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly hash: TextHash;
+  readonly log: LogSink;
+  readonly daemon: DaemonId;
+  readonly incarnation: Incarnation;
+  /** All other known members. */
+  readonly others: () => readonly AuthorityMember[];
+  readonly limits: LedgerLimits;
+  /** Milliseconds for which finished operations are remembered. */
+  readonly retention: number;
+}
+
+/** Range that this daemon owns. */
+export interface HeldRange {
+  readonly ledger: OperationLedger;
+  readonly log: Journal;
+}
+
+/** Takes over the key ranges for which this daemon is the candidate and gives them up on a planned stop. */
+export class RangeOwnership implements Disposable {
+  private readonly held = new Map<RangeNumber, HeldRange>();
+
+  private readonly acquiring = new Set<RangeNumber>();
+
+  private readonly checkedAt = new Map<RangeNumber, number>();
+
+  private readonly journals = new Set<Journal>();
+
+  private readonly changes = new Emitter<readonly RangeNumber[]>();
+
+  private readonly records: OwnerRecords;
+
+  private timers: Disposable[] = [];
+
+  private term = 0;
+
+  private isStopping = false;
+
+  /** Fires with the owned ranges after each change. */
+  public readonly onChange = this.changes.event;
+
+  public constructor(private readonly context: OwnershipContext) {
+    const { store, clock, daemon, incarnation } = context;
+    this.records = new OwnerRecords(store, clock, { daemon, incarnation });
+  }
+
+  /** Ranges that this daemon owns, ascending. */
+  public get ranges(): readonly RangeNumber[] {
+    return [...this.held.keys()].sort((left, right) => left - right);
+  }
+
+  /** Records of an owned range; undefined for another range and during a planned stop. */
+  public recordsOf(range: RangeNumber): HeldRange | undefined {
+    return this.isStopping ? undefined : this.held.get(range);
+  }
+
+  /** Begins to take over ranges. */
+  public start(): void {
+    this.repeat(checkInterval, () => this.check());
+    this.repeat(renewInterval, () => this.renew());
+    this.repeat(deletionInterval, () => this.deleteExpired());
+    this.repeat(generationInterval, () => this.startGenerations());
+  }
+
+  /** Planned stop: writes what is recorded, then gives the ranges up. Waits at most to `deadline`. */
+  public async stop(deadline: number): Promise<void> {
+    this.isStopping = true;
+    const flushed = Promise.all([...this.held.values()].map(({ log }) => log.flush()));
+    await before(this.context.clock, deadline, flushed);
+    this.dispose();
+    const released = this.records.release().catch((error: unknown) => this.warn('release', error));
+    await before(this.context.clock, deadline, released);
+  }
+
+  public dispose(): void {
+    this.isStopping = true;
+    this.timers.forEach((timer) => timer.dispose());
+    this.timers = [];
+    [...this.journals].forEach((journal) => journal.dispose());
+  }
+
+  private repeat(interval: number, step: () => Promise<void> | void): void {
+    const { random } = this.context;
+    const run = async (): Promise<void> => {
+      await step();
+      if (!this.isStopping) this.schedule(interval * (0.75 + random() / 2), run);
+    };
+    // The first steps of daemons that start together are spread over one interval.
+    this.schedule(interval * random(), run);
+  }
+
+  private schedule(delay: number, run: () => Promise<void>): void {
+    const timer = this.context.clock.after(delay, () => {
+      this.timers = this.timers.filter((other) => other !== timer);
+      void run();
+    });
+    this.timers.push(timer);
+  }
+
+  private check(): void {
+    const { clock, daemon, hash } = this.context;
+    const others = this.context.others();
+    const live = others.filter(({ isLive }) => isLive);
+    const ids = [daemon, ...live.map(({ id }) => id)];
+    for (let range = 0; range < rangeCount; range += 1) {
+      const isClaimed = live.some(({ ranges }) => ranges.includes(range));
+      const pause = isClaimed ? claimedCheckInterval : 0;
+      const isDue = clock.elapsed() - (this.checkedAt.get(range) ?? -Infinity) >= pause;
+      if (isDue && candidateOf(range, ids, hash) === daemon) void this.acquire(range);
+    }
+  }
+
+  private async acquire(range: RangeNumber): Promise<void> {
+    if (this.held.has(range) || this.acquiring.has(range) || this.isStopping) return;
+    this.acquiring.add(range);
+    this.checkedAt.set(range, this.context.clock.elapsed());
+    try {
+      if (await this.records.claim(range)) await this.takeOver(range);
+    } catch (error) {
+      this.warn('take over', error, range);
+    } finally {
+      this.acquiring.delete(range);
+    }
+  }
+
+  private async takeOver(range: RangeNumber): Promise<void> {
+    const { hash, limits } = this.context;
+    const ledger = new OperationLedger(hash, limits);
+    const log = this.createJournal(range, ledger);
+    try {
+      await log.takeOver((record, sequence) => ledger.replay(record, sequence));
+    } catch (error) {
+      log.dispose();
+      throw error;
+    }
+    if (this.isStopping) return;
+    this.held.set(range, { ledger, log });
+    this.report(range, 'took over a key range', ledger.size);
+  }
+
+  private createJournal(range: RangeNumber, ledger: OperationLedger): Journal {
+    const { store, clock, random, incarnation, retention } = this.context;
+    this.term += 1;
+    const writer = `${incarnation}.${this.term}`;
+    const journal: Journal = new Journal(
+      range,
+      { store, clock, random, writer },
+      {
+        retention,
+        onWritten: (key, sequence) => ledger.noteWritten(key, sequence),
+        onFenced: () => this.drop(range, ledger, journal),
+      },
+    );
+    this.journals.add(journal);
+    return journal;
+  }
+
+  private drop(range: RangeNumber, ledger: OperationLedger, journal: Journal): void {
+    this.journals.delete(journal);
+    ledger.abandon();
+    if (this.held.get(range)?.log !== journal) return;
+    this.held.delete(range);
+    this.report(range, 'gave up a key range', ledger.size);
+  }
+
+  private async renew(): Promise<void> {
+    if (this.held.size === 0 || (await this.records.renew())) return;
+    for (const [range, { log }] of [...this.held]) await this.claimAgain(range, log);
+  }
+
+  /** Renews the record of an owned range after the lease has lapsed. */
+  private async claimAgain(range: RangeNumber, journal: Journal): Promise<void> {
+    try {
+      if (!(await this.records.claim(range))) journal.dispose();
+    } catch (error) {
+      // Without the store nobody else can take over either, and the journal fences this daemon if somebody did.
+      this.warn('renew', error, range);
+    }
+  }
+
+  private async deleteExpired(): Promise<void> {
+    for (const [range, { ledger, log }] of [...this.held]) {
+      try {
+        ledger.forgetThrough(await log.deleteExpired());
+      } catch (error) {
+        this.warn('delete old segments', error, range);
+      }
+    }
+  }
+
+  private startGenerations(): void {
+    this.held.forEach(({ ledger }) => ledger.startGeneration());
+  }
+
+  private report(range: RangeNumber, message: string, operations: number): void {
+    const fields = { range, operations, step: 'operations.ownership' };
+    this.context.log.write({ level: 'info', kind: 'operation', message, fields });
+    this.changes.fire(this.ranges);
+  }
+
+  private warn(step: string, error: unknown, range?: RangeNumber): void {
+    const fields = { range, error: String(error), step: `operations.${step.replaceAll(' ', '-')}` };
+    const message = `cannot ${step}`;
+    this.context.log.write({ level: 'warn', kind: 'operation', message, fields });
+  }
+}
--- /dev/null
+++ b/src/common/operations/index.ts
@@ -0,0 +1,10 @@
+export * from './AuthorityClient.js';
+export * from './AuthorityRouting.js';
+export * from './FencedError.js';
+export * from './IssuedKeys.js';
+export * from './KeyRanges.js';
+export * from './OperationAuthority.js';
+export * from './OperationLedger.js';
+export * from './Quarantine.js';
+export * from './RangeOwnership.js';
+export type * from './Types.js';
