--- /dev/null
+++ b/src/common/ejection/HomeTarget.ts
@@ -0,0 +1,76 @@
+import { HealthTracker } from '../health/index.js';
+import type { RouteLatency, TargetSummary, Verdict } from '../health/index.js';
+import type { TargetAnnouncement } from '../services/Types.js';
+import { TargetLifecycle } from './TargetLifecycle.js';
+
+/** Milliseconds for which the medians of the routes are kept, as many homes ask for them. */
+const routesInterval = 500;
+
+/** What a home keeps of one of its targets: announcement, evidence and state. */
+export class HomeTarget {
+  public readonly tracker: HealthTracker;
+
+  public readonly lifecycle: TargetLifecycle;
+
+  private latest: TargetAnnouncement;
+
+  private announcedAt: number;
+
+  private routes: readonly RouteLatency[] = [];
+
+  private routesAt = -Infinity;
+
+  /** Last verdict, so that summaries do not repeat the work. */
+  public verdict: Verdict;
+
+  public constructor(announcement: TargetAnnouncement, now: number) {
+    this.latest = announcement;
+    this.announcedAt = now;
+    this.tracker = new HealthTracker(now, announcement.state === 'starting');
+    this.lifecycle = new TargetLifecycle(announcement.id, announcement.service);
+    this.verdict = this.tracker.verdict(now);
+  }
+
+  public get announcement(): TargetAnnouncement {
+    return this.latest;
+  }
+
+  /** Takes a renewal; a new incarnation starts with no evidence and cold. */
+  public announce(announcement: TargetAnnouncement, now: number): void {
+    const isNew = announcement.incarnation !== this.latest.incarnation;
+    if (isNew) this.tracker.reset(now, true);
+    this.latest = announcement;
+    this.announcedAt = now;
+    this.lifecycle.announce(announcement.state, isNew, now);
+  }
+
+  /** Judges the target anew. */
+  public judge(now: number): Verdict {
+    this.verdict = this.tracker.verdict(now);
+    return this.verdict;
+  }
+
+  /** What other homes are told. */
+  public summary(now: number): TargetSummary {
+    const { rate, samples } = this.tracker.errorRate(now);
+    return {
+      target: this.latest.id,
+      status: this.lifecycle.state,
+      slots: this.latest.slots,
+      share: this.lifecycle.share,
+      age: now - this.announcedAt,
+      errorRate: rate,
+      samples,
+      severity: this.verdict.severity,
+      routes: this.recentRoutes(now),
+    };
+  }
+
+  private recentRoutes(now: number): readonly RouteLatency[] {
+    if (now - this.routesAt >= routesInterval) {
+      this.routes = this.tracker.routeSummaries();
+      this.routesAt = now;
+    }
+    return this.routes;
+  }
+}
