--- /dev/null
+++ b/src/common/base/Hash.ts
@@ -0,0 +1,15 @@
+import xxhash from 'xxhash-wasm';
+
+const api = await xxhash();
+
+/** Fast 32-bit hash of a string, for tables and rendezvous hashing. It does not protect against tampering. */
+export function hashString(input: string, seed = 0): number {
+  return api.h32(input, seed);
+}
+
+/** Orders `candidates` by rendezvous hash for `key`, highest rank first. The order is the same in every process. */
+export function rankByRendezvous<Id extends string>(key: string, candidates: readonly Id[]): Id[] {
+  const weighed = candidates.map((id) => ({ id, weight: hashString(`${key}\u0000${id}`) }));
+  weighed.sort((left, right) => right.weight - left.weight || (left.id < right.id ? -1 : 1));
+  return weighed.map(({ id }) => id);
+}
