--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -1,4 +1,5 @@
+import { headOfLine } from './scenarios/headOfLine.js';
 import type { Scenario } from './Types.js';
 
 /** All scenarios, in the order of the report. */
-export const scenarios: readonly Scenario[] = [];
+export const scenarios: readonly Scenario[] = [headOfLine];
