--- /dev/null
+++ b/src/demo/main.ts
@@ -0,0 +1,152 @@
+#!/usr/bin/env node
+import { setTimeout as delay } from 'node:timers/promises';
+import { fileURLToPath } from 'node:url';
+import { Builtins, Cli, Command, Option } from 'clipanion';
+import { consola } from 'consola';
+import { createRandom } from '../api/index.js';
+import { quantile } from '../bench/Statistics.js';
+import { Callers } from './Callers.js';
+import { auction, plant } from './deployments.js';
+import { LocalFleet } from './LocalFleet.js';
+import type { CallerAnswer, Deployment } from './Types.js';
+
+const deployments: Readonly<Record<string, Deployment>> = { auction, plant };
+const callerSeed = 2026;
+const slowFault = { slowness: 10, errorShare: 0.3 };
+const usageExitCode = 64;
+
+function summarise(answers: readonly CallerAnswer[], deployment: Deployment): string {
+  const lines = deployment.kinds.map(({ name, workClass }) => {
+    const own = answers.filter(({ kind }) => kind.name === name);
+    const count = (result: CallerAnswer['result']): number =>
+      own.filter((answer) => answer.result === result).length;
+    const durations = own.filter(({ result }) => result === 'done').map((each) => each.duration);
+    const latency = `p50 ${quantile(durations, 0.5).toFixed(0)} ms, p99 ${quantile(durations, 0.99).toFixed(0)} ms`;
+    const counts = `done ${count('done')}, not run ${count('not-run')}, unknown ${count('unknown')}, wrong ${count('wrong')}`;
+    return `  ${name.padEnd(10)} ${workClass.padEnd(12)} ${counts}; ${latency}`;
+  });
+  return lines.join('\n');
+}
+
+/** Tells if every write ran at most once and every answer about it was true. */
+async function checkWrites(fleet: LocalFleet, answers: readonly CallerAnswer[]): Promise<string[]> {
+  const started = await fleet.startedKeys();
+  const counts = new Map<string, number>();
+  started.forEach((key) => counts.set(key, (counts.get(key) ?? 0) + 1));
+  const problems = [...counts]
+    .filter(([, count]) => count > 1)
+    .map(([key, count]) => `${key} ran ${count} times`);
+  answers.forEach(({ key, result }) => {
+    if (key === undefined) return;
+    const count = counts.get(key) ?? 0;
+    if (result === 'done' && count !== 1) problems.push(`${key} is done but ran ${count} times`);
+    if (result === 'not-run' && count > 0) problems.push(`${key} is "not run" but was started`);
+  });
+  return problems;
+}
+
+/** Shows a small fleet at work and under a gray failure. */
+class DemoCommand extends Command {
+  public static override readonly paths = [Command.Default];
+
+  public static override readonly usage = Command.Usage({
+    description: 'Starts a small fleet on loopback and shows what happens under a gray failure.',
+    examples: [
+      ['The auction', '$0 auction'],
+      ['The plant, with fewer requests', '$0 plant --requests 2000'],
+    ],
+  });
+
+  private readonly deployment = Option.String({ required: false });
+
+  private readonly requests = Option.String('--requests', '10000');
+
+  private readonly parallel = Option.String('--parallel', '24');
+
+  public async execute(): Promise<number> {
+    const deployment = deployments[this.deployment ?? 'auction'];
+    if (deployment === undefined) {
+      consola.error(`unknown deployment; known: ${Object.keys(deployments).join(', ')}`);
+      return usageExitCode;
+    }
+    const fleet = new LocalFleet(deployment);
+    let isStopping = false;
+    const stop = async (): Promise<void> => {
+      if (isStopping) return;
+      isStopping = true;
+      consola.log('stopping all processes');
+      await fleet.stop();
+    };
+    process.once('SIGINT', () => {
+      void stop().then(() => process.exit(130));
+    });
+    try {
+      return await this.show(fleet, deployment);
+    } finally {
+      await stop();
+    }
+  }
+
+  private async show(fleet: LocalFleet, deployment: Deployment): Promise<number> {
+    const total = Number(this.requests);
+    const parallel = Number(this.parallel);
+    consola.log(`deployment: ${deployment.title}`);
+    await fleet.startDaemons();
+    const file = fileURLToPath(
+      new URL(`../../../examples/${deployment.name}/configuration.ini`, import.meta.url),
+    );
+    await this.operate(fleet, 'preset', 'write', file);
+    await this.operate(fleet, 'preset', 'switch', 'ordinary');
+    await fleet.startTargets();
+    consola.log(
+      `${fleet.daemons.length} daemons in ${deployment.dataCentres.length} data centres, ${fleet.targets.length} targets`,
+    );
+    await delay(2_000);
+    const addresses = fleet.daemons.map(({ callers }) => callers);
+    const callers = new Callers(() => addresses, deployment.kinds, createRandom(callerSeed));
+    const answers: CallerAnswer[] = [];
+    const run = async (share: number, title: string): Promise<void> => {
+      const part = await callers.run(Math.ceil(total * share), parallel);
+      answers.push(...part);
+      consola.log(
+        `${title}: ${part.length} requests (caller seed ${callerSeed})\n${summarise(part, deployment)}`,
+      );
+    };
+    await run(0.3, '1. all targets well');
+    const sick = fleet.targets.find(({ service }) => service === deployment.failing);
+    if (sick !== undefined) {
+      await fleet.setFault(sick, slowFault);
+      consola.log(`2. ${sick.id} is now 10 times slower and fails 3 in 10 requests`);
+      await run(0.4, '   under the gray failure');
+      await this.operate(fleet, 'target', 'list', '--service', deployment.failing);
+      await fleet.setFault(sick, {});
+    }
+    consola.log('3. an operator switches the preset');
+    await this.operate(fleet, 'preset', 'switch', deployment.peakPreset);
+    await this.operate(fleet, 'preset', 'status');
+    await run(0.3, '   after the switch');
+    callers.dispose();
+    return this.conclude(fleet, answers);
+  }
+
+  private async conclude(fleet: LocalFleet, answers: readonly CallerAnswer[]): Promise<number> {
+    const problems = await checkWrites(fleet, answers);
+    const wrong = answers.filter(({ result }) => result === 'wrong').length;
+    const writes = answers.filter(({ key }) => key !== undefined).length;
+    consola.log(`4. ${answers.length} answers checked: ${wrong} wrong or not whole`);
+    consola.log(`   ${writes} writes: ${problems.length} ran twice or were answered falsely`);
+    problems.slice(0, 10).forEach((problem) => consola.error(problem));
+    return problems.length + wrong === 0 ? 0 : 1;
+  }
+
+  private async operate(fleet: LocalFleet, ...args: string[]): Promise<void> {
+    const { code, output } = await fleet.operate(...args);
+    const text = output.trimEnd().replaceAll(/^/gm, '   ');
+    consola.log(`   $ limpettrack ${args.join(' ')}  (exit ${code})\n${text}`);
+  }
+}
+
+const cli = new Cli({ binaryName: 'limpettrack-demo', binaryLabel: 'limpettrack demo' });
+cli.register(DemoCommand);
+cli.register(Builtins.HelpCommand);
+await cli.runExit(process.argv.slice(2));
