--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -5,7 +5,7 @@
 import { badSettingsExitCode } from '../common/settings/index.js';
 import { Daemon } from './Daemon.js';
 import { readSettings } from './Settings.js';
-import { SystemClock } from './SystemClock.js';
+import { SystemClock } from '../node/SystemClock.js';
 import './plugins.js';
 
 const usageExitCode = 64;
--- a/src/demo/LocalFleet.ts
+++ b/src/demo/LocalFleet.ts
@@ -4,7 +4,7 @@
 import { request } from 'undici';
 import type { FaultSettings } from '../target/Types.js';
 import { binaryPath, ChildProcess } from './ChildProcess.js';
-import { findFreePorts } from './freePorts.js';
+import { findFreePorts } from '../node/freePorts.js';
 import type { Deployment, ServicePlan } from './Types.js';
 
 const loopback = '127.0.0.1';
--- a/test/Fleet.ts
+++ b/test/Fleet.ts
@@ -2,7 +2,7 @@
 import { brandAs, createRandom } from '../src/api/index.js';
 import { Daemon } from '../src/daemon/Daemon.js';
 import type { DaemonSettings } from '../src/daemon/Settings.js';
-import { SystemClock } from '../src/daemon/SystemClock.js';
+import { SystemClock } from '../src/node/SystemClock.js';
 
 /** Settings of a daemon on loopback with ports that the system chooses. */
 export function createSettings(id: string, extra: Partial<DaemonSettings> = {}): DaemonSettings {
--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai';
 import { request } from 'undici';
 import type { Daemon, DaemonPorts } from '../src/daemon/Daemon.js';
+import { findFreePorts } from '../src/node/freePorts.js';
 import { createContent, TargetServer } from '../src/target/TargetServer.js';
 import type { FaultSettings, TargetSettings } from '../src/target/Types.js';
 import { createDaemon, createSettings } from './Fleet.js';
@@ -42,139 +43,186 @@
   await response.body.dump();
 }
 
-describe('path of a request', () => {
-  let daemon: Daemon;
-  let ports: DaemonPorts;
-  let target: TargetServer;
-  let targetPort: number;
+async function countWork(port: number): Promise<number> {
+  const { body } = await request(`http://127.0.0.1:${port}/.count`);
+  return (await body.json()) as number;
+}
 
-  beforeEach(async () => {
-    daemon = createDaemon(createSettings('d1'));
-    ports = await daemon.start();
-    target = new TargetServer(targetSettings, () => {});
-    targetPort = await target.listen();
-    await announce(ports, targetPort);
-  });
+/** Asks until the entry has learned of the target. */
+async function waitUntilServed(ports: DaemonPorts): Promise<void> {
+  for (let tries = 0; tries < 200; tries += 1) {
+    const { statusCode, body } = await request(`http://127.0.0.1:${ports.callers}/lots/x`, {
+      method: 'HEAD',
+    });
+    await body.dump();
+    if (statusCode === 200) return;
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+  }
+  throw new Error('the entry did not learn of the target');
+}
 
-  afterEach(async () => {
-    daemon.dispose();
-    await target.close();
-  });
+/** Starts one daemon, or two that know each other. */
+async function startDaemons(count: number): Promise<{ daemon: Daemon; ports: DaemonPorts }[]> {
+  const peers = (await findFreePorts(count)).map((port) => `127.0.0.1:${port}`);
+  const daemons = peers.map((peer, index) =>
+    createDaemon(createSettings(`d${index + 1}`, { peer, peers })),
+  );
+  return Promise.all(daemons.map(async (daemon) => ({ daemon, ports: await daemon.start() })));
+}
+
+const placements = [
+  { name: 'the entry is the home of the target', count: 1 },
+  { name: 'the home of the target is a peer', count: 2 },
+];
 
-  const urlOf = (path: string): string => `http://127.0.0.1:${ports.callers}${path}`;
+placements.forEach(({ name: placement, count }) =>
+  describe(`path of a request, ${placement}`, () => {
+    let daemons: Awaited<ReturnType<typeof startDaemons>>;
+    let daemon: Daemon;
+    let ports: DaemonPorts;
+    let home: DaemonPorts;
+    let target: TargetServer;
+    let targetPort: number;
 
-  const sizes = [0, 1, 65_537, 5_000_000];
-  sizes.forEach((size) => {
-    it(`carries a body of ${size} bytes whole`, async () => {
-      const response = await request(urlOf(`/lots/plan?size=${size}`));
-      const body = Buffer.from(await response.body.arrayBuffer());
-      expect(response.statusCode).to.equal(200);
-      expect(body.equals(createContent('/lots/plan', size))).to.equal(true);
+    beforeEach(async () => {
+      daemons = await startDaemons(count);
+      const [entry] = daemons;
+      const last = daemons.at(-1);
+      if (entry === undefined || last === undefined) throw new Error('no daemon');
+      ({ daemon, ports } = entry);
+      home = last.ports;
+      target = new TargetServer(targetSettings, () => {});
+      targetPort = await target.listen();
+      await announce(home, targetPort);
+      await waitUntilServed(ports);
     });
-  });
 
-  const faults: { name: string; fault: Partial<FaultSettings> }[] = [
-    { name: 'an answer that is cut', fault: { truncateShare: 1 } },
-    { name: 'an answer that is lost', fault: { lostAnswerShare: 1 } },
-    { name: 'an error', fault: { errorShare: 1 } },
-  ];
-  faults.forEach(({ name, fault }) => {
-    it(`never passes ${name} as a whole answer`, async () => {
-      await setFault(targetPort, fault);
-      const isWhole = await request(urlOf('/lots/plan?size=400000'))
-        .then(
-          async ({ statusCode, body }) => {
-            const { byteLength } = await body.arrayBuffer();
-            return statusCode === 200 && byteLength > 0;
-          },
-          () => false,
-        )
-        .catch(() => false);
-      expect(isWhole).to.equal(false);
+    afterEach(async () => {
+      daemons.forEach((each) => each.daemon.dispose());
+      await target.close();
     });
-  });
 
-  it('does not give a caller the answer to another request', async () => {
-    await request(urlOf('/lots/first')).then(({ body }) => body.dump());
-    await setFault(targetPort, { crossedShare: 1 });
-    const response = await request(urlOf('/lots/second'));
-    await response.body.dump();
-    expect(response.statusCode).to.equal(502);
-    expect(response.headers['limpettrack-outcome']).to.equal('unknown');
-  });
+    const urlOf = (path: string): string => `http://127.0.0.1:${ports.callers}${path}`;
 
-  it('says not-run, and sends nothing, when no target takes work', async () => {
-    await announce(ports, targetPort, 'draining');
-    const response = await request(urlOf('/lots/bid'), { method: 'POST', body: 'x' });
-    await response.body.dump();
-    const count = await request(`http://127.0.0.1:${targetPort}/.count`);
-    expect(response.statusCode).to.equal(503);
-    expect(response.headers['limpettrack-outcome']).to.equal('not-run');
-    expect(await count.body.json()).to.equal(0);
-  });
+    const sizes = [0, 1, 65_537, 5_000_000];
+    sizes.forEach((size) => {
+      it(`carries a body of ${size} bytes whole`, async () => {
+        const response = await request(urlOf(`/lots/plan?size=${size}`));
+        const body = Buffer.from(await response.body.arrayBuffer());
+        expect(response.statusCode).to.equal(200);
+        expect(body.equals(createContent('/lots/plan', size))).to.equal(true);
+      });
+    });
 
-  it('finishes a request in flight when it stops, and refuses new connections', async () => {
-    const pending = request(urlOf('/lots/slow?size=1000&work=300'));
-    await new Promise((resolve) => {
-      setTimeout(resolve, 50);
+    const faults: { name: string; fault: Partial<FaultSettings> }[] = [
+      { name: 'an answer that is cut', fault: { truncateShare: 1 } },
+      { name: 'an answer that is lost', fault: { lostAnswerShare: 1 } },
+      { name: 'an error', fault: { errorShare: 1 } },
+    ];
+    faults.forEach(({ name, fault }) => {
+      it(`never passes ${name} as a whole answer`, async () => {
+        await setFault(targetPort, fault);
+        const isWhole = await request(urlOf('/lots/plan?size=400000'))
+          .then(
+            async ({ statusCode, body }) => {
+              const { byteLength } = await body.arrayBuffer();
+              return statusCode === 200 && byteLength > 0;
+            },
+            () => false,
+          )
+          .catch(() => false);
+        expect(isWhole).to.equal(false);
+      });
     });
-    const stopped = daemon.stop();
-    const response = await pending;
-    const body = await response.body.arrayBuffer();
-    await stopped;
-    expect(body.byteLength).to.equal(1_000);
-    const refused = await request(urlOf('/lots/x')).then(
-      () => false,
-      () => true,
-    );
-    expect(refused).to.equal(true);
-  });
 
-  const malformed = [
-    {
-      name: 'Content-Length with Transfer-Encoding',
-      text: 'POST /lots/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
-      status: 400,
-    },
-    {
-      name: 'two lengths',
-      text: 'POST /lots/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc',
-      status: 400,
-    },
-    { name: 'no host', text: 'GET /lots/x HTTP/1.1\r\n\r\n', status: 400 },
-    { name: 'bad host', text: 'GET /lots/x HTTP/1.1\r\nHost: a/b\r\n\r\n', status: 400 },
-    { name: 'two hosts', text: 'GET /lots/x HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n', status: 400 },
-    { name: 'not HTTP', text: 'hello\r\n\r\n', status: 400 },
-    {
-      name: 'a header flood',
-      text: `GET /lots/x HTTP/1.1\r\nHost: a\r\n${'x: y\r\n'.repeat(200)}\r\n`,
-      status: 431,
-    },
-    {
-      name: 'large headers',
-      text: `GET /lots/x HTTP/1.1\r\nHost: a\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`,
-      status: 431,
-    },
-    {
-      name: 'a declared length over the limit',
-      text: 'PUT /lots/x HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n',
-      status: 413,
-    },
-    {
-      name: 'an unknown transfer encoding',
-      text: 'POST /lots/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n',
-      status: 400,
-    },
-  ];
-  malformed.forEach(({ name, text, status }) => {
-    it(`answers ${status} to ${name} and sends nothing to a target`, async () => {
-      const answer = await sendRaw(ports.callers, text);
-      const count = await request(`http://127.0.0.1:${targetPort}/.count`);
-      expect(statusOf(answer)).to.equal(status);
-      expect(await count.body.json()).to.equal(0);
+    it('does not give a caller the answer to another request', async () => {
+      await request(urlOf('/lots/first')).then(({ body }) => body.dump());
+      await setFault(targetPort, { crossedShare: 1 });
+      const response = await request(urlOf('/lots/second'));
+      await response.body.dump();
+      expect(response.statusCode).to.equal(502);
+      expect(response.headers['limpettrack-outcome']).to.equal('unknown');
     });
-  });
-});
+
+    it('says not-run, and sends nothing, when no target takes work', async () => {
+      await announce(home, targetPort, 'draining');
+      const before = await countWork(targetPort);
+      const response = await request(urlOf('/lots/bid'), { method: 'POST', body: 'x' });
+      await response.body.dump();
+      expect(response.statusCode).to.equal(503);
+      expect(response.headers['limpettrack-outcome']).to.equal('not-run');
+      expect(await countWork(targetPort)).to.equal(before);
+    });
+
+    it('finishes a request in flight when it stops, and refuses new connections', async () => {
+      const pending = request(urlOf('/lots/slow?size=1000&work=300'));
+      await new Promise((resolve) => {
+        setTimeout(resolve, 50);
+      });
+      const stopped = daemon.stop();
+      const response = await pending;
+      const body = await response.body.arrayBuffer();
+      await stopped;
+      expect(body.byteLength).to.equal(1_000);
+      const refused = await request(urlOf('/lots/x')).then(
+        () => false,
+        () => true,
+      );
+      expect(refused).to.equal(true);
+    });
+
+    const malformed = [
+      {
+        name: 'Content-Length with Transfer-Encoding',
+        text: 'POST /lots/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        status: 400,
+      },
+      {
+        name: 'two lengths',
+        text: 'POST /lots/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc',
+        status: 400,
+      },
+      { name: 'no host', text: 'GET /lots/x HTTP/1.1\r\n\r\n', status: 400 },
+      { name: 'bad host', text: 'GET /lots/x HTTP/1.1\r\nHost: a/b\r\n\r\n', status: 400 },
+      {
+        name: 'two hosts',
+        text: 'GET /lots/x HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n',
+        status: 400,
+      },
+      { name: 'not HTTP', text: 'hello\r\n\r\n', status: 400 },
+      {
+        name: 'a header flood',
+        text: `GET /lots/x HTTP/1.1\r\nHost: a\r\n${'x: y\r\n'.repeat(200)}\r\n`,
+        status: 431,
+      },
+      {
+        name: 'large headers',
+        text: `GET /lots/x HTTP/1.1\r\nHost: a\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`,
+        status: 431,
+      },
+      {
+        name: 'a declared length over the limit',
+        text: 'PUT /lots/x HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n',
+        status: 413,
+      },
+      {
+        name: 'an unknown transfer encoding',
+        text: 'POST /lots/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n',
+        status: 400,
+      },
+    ];
+    malformed.forEach(({ name, text, status }) => {
+      it(`answers ${status} to ${name} and sends nothing to a target`, async () => {
+        const before = await countWork(targetPort);
+        const answer = await sendRaw(ports.callers, text);
+        expect(statusOf(answer)).to.equal(status);
+        expect(await countWork(targetPort)).to.equal(before);
+      });
+    });
+  }),
+);
 
 describe('headers and cancellation', () => {
   let daemon: Daemon;
