--- a/src/common/membership/MemberTable.ts
+++ b/src/common/membership/MemberTable.ts
@@ -180,7 +180,6 @@
 
   /** Joins two records of one member: the later state, and the later list of targets of the same run. */
   private static combine(held: MemberRecord, offered: MemberRecord): MemberRecord {
-    if (held.incarnation > offered.incarnation) return held;
     if (held.incarnation < offered.incarnation) return MemberTable.received(offered);
     const isStateNewer = hasNewerState(offered, held);
     const isListNewer = offered.targets !== undefined && hasNewerTargets(offered, held);
--- a/src/common/membership/TargetAnnouncements.test.ts
+++ b/src/common/membership/TargetAnnouncements.test.ts
@@ -21,17 +21,39 @@
 
 describe('TargetAnnouncements', () => {
   const cases = [
-    { name: 'keeps a target that renews in time', at: [0, 2900, 5800], until: 8700, held: true },
-    { name: 'drops a target 3 s after its last renewal', at: [0], until: 3000, held: false },
-    { name: 'takes a target back that was dropped', at: [0, 5000], until: 7900, held: true },
+    {
+      name: 'keeps a target that renews in time',
+      at: [0, 2900, 5800],
+      until: 8700,
+      held: true,
+      drops: 0,
+    },
+    {
+      name: 'drops a target 3 s after its last renewal',
+      at: [0],
+      until: 3000,
+      held: false,
+      drops: 1,
+    },
+    {
+      name: 'takes a target back that was dropped',
+      at: [0, 5000],
+      until: 7900,
+      held: true,
+      drops: 1,
+    },
   ];
-  cases.forEach(({ name, at, until, held }) => {
+  cases.forEach(({ name, at, until, held, drops }) => {
     it(name, () => {
       const clock = new VirtualClock();
       const announcements = new TargetAnnouncements(clock);
+      let gone = 0;
+      announcements.onGone(() => {
+        gone += 1;
+      });
       at.forEach((time) => clock.after(time, () => announcements.announce(announcement('1-a'))));
       clock.advance(until);
-      expect(announcements.has(id)).to.equal(held);
+      expect([announcements.has(id), gone]).to.deep.equal([held, drops]);
     });
   });
 
