--- /dev/null
+++ b/src/bench/simulation/ConfigurationFleet.ts
@@ -0,0 +1,136 @@
+import { createHash } from 'node:crypto';
+import { createRandom } from '../../common/base/index.js';
+import { encodeHead } from '../../common/configuration/ConfigurationCodec.js';
+import { ConfigurationState } from '../../common/configuration/ConfigurationState.js';
+import { ConfigurationTask } from '../../common/configuration/ConfigurationTask.js';
+import { createFleetView } from '../../common/configuration/MemberFleetView.js';
+import { StoreConfigurationEditor } from '../../common/configuration/StoreConfigurationEditor.js';
+import type { ConfigurationChunk, Digest } from '../../common/configuration/Types.js';
+import type { RevisionExchange } from '../../common/membership/Types.js';
+import { FakeStore } from './FakeStore.js';
+import { MemberFleet } from './MemberFleet.js';
+import type { FleetOptions } from './MemberFleet.js';
+
+/** SHA-256 for tests and benches. */
+export const sha256: Digest = (content) => createHash('sha256').update(content).digest('hex');
+
+/** Settings of a simulated fleet with configuration. */
+export interface ConfigurationFleetOptions extends Omit<FleetOptions, 'revisionsOf'> {
+  readonly onChunks?: (
+    sender: number,
+    receiver: number,
+    chunks: readonly ConfigurationChunk[],
+  ) => void;
+}
+
+/** One daemon's configuration. */
+export interface ConfigurationNode {
+  readonly state: ConfigurationState;
+  readonly task: ConfigurationTask;
+  /** Revisions that came into force, in order. */
+  readonly revisions: number[];
+}
+
+/** A simulated fleet in which each daemon also runs the real configuration task. */
+export class ConfigurationFleet {
+  public readonly members: MemberFleet;
+
+  public readonly store = new FakeStore();
+
+  public readonly editor: StoreConfigurationEditor;
+
+  public readonly nodes: ConfigurationNode[] = [];
+
+  public constructor(private readonly options: ConfigurationFleetOptions) {
+    const { clock } = options;
+    this.editor = new StoreConfigurationEditor(this.store, sha256, () => clock.now());
+    const revisionsOf = (index: number): RevisionExchange => this.revisionsOf(index);
+    this.members = new MemberFleet({ ...options, revisionsOf });
+    this.members.nodes.forEach((_, index) => this.nodes.push(this.createNode(index)));
+  }
+
+  public start(): void {
+    this.members.start();
+    this.nodes.forEach(({ task }) => task.start());
+  }
+
+  /** Replaces the process at an index by a new one that knows nothing. */
+  public restart(index: number): void {
+    this.node(index).task.dispose();
+    this.members.restart(index);
+    this.nodes[index] = this.createNode(index);
+    this.node(index).task.start();
+  }
+
+  public node(index: number): ConfigurationNode {
+    return this.nodes[index] as ConfigurationNode;
+  }
+
+  /** Revision in force at each running daemon. */
+  public revisions(): number[] {
+    return this.members.running().map(({ index }) => this.node(index).state.revision);
+  }
+
+  /** Virtual milliseconds until all running daemons have the revision in force, or `limit`. */
+  public async timeToRevision(revision: number, limit: number, step = 50): Promise<number> {
+    for (let waited = 0; waited < limit; waited += step) {
+      if (this.revisions().every((present) => present === revision)) return waited;
+      await this.options.clock.advanceAsync(step);
+    }
+    return limit;
+  }
+
+  public dispose(): void {
+    this.nodes.forEach(({ task }) => task.dispose());
+    this.members.dispose();
+  }
+
+  private revisionsOf(index: number): RevisionExchange {
+    return {
+      revision: () => this.nodes[index]?.state.revision ?? 0,
+      head: () => {
+        const head = this.nodes[index]?.state.head;
+        return head === undefined ? undefined : encodeHead(head, sha256);
+      },
+      offer: (address, head) => this.nodes[index]?.task.offer(address, head),
+    };
+  }
+
+  private createNode(index: number): ConfigurationNode {
+    const { clock, table, gossip } = this.members.node(index);
+    const state = new ConfigurationState(sha256);
+    const revisions: number[] = [];
+    state.onChange(({ after }) => {
+      revisions.push(after.revision);
+      gossip.announceNow();
+    });
+    const task = new ConfigurationTask({
+      state,
+      store: this.store,
+      fleet: createFleetView(table),
+      fetchChunks: (address, digests) => this.fetchChunks(index, address, digests),
+      digest: sha256,
+      clock,
+      random: createRandom(this.options.seed * 7919 + index),
+      log: { write: () => {} },
+    });
+    return { state, task, revisions };
+  }
+
+  private fetchChunks(
+    sender: number,
+    address: string,
+    digests: readonly string[],
+  ): Promise<readonly ConfigurationChunk[]> {
+    const receiver = this.members.indexOf(address);
+    return this.members.call(sender, receiver, () => {
+      const { state } = this.node(receiver);
+      const chunks = digests.flatMap((digest) => {
+        const content = state.chunk(digest);
+        return content === undefined ? [] : [{ digest, content }];
+      });
+      this.options.onChunks?.(receiver, sender, chunks);
+      return Promise.resolve(chunks);
+    });
+  }
+}
--- a/src/bench/simulation/MemberFleet.ts
+++ b/src/bench/simulation/MemberFleet.ts
@@ -151,7 +151,8 @@
     return new FleetNode(index, record, clock, random, contacts, link, revisions);
   }
 
-  private indexOf(address: string): number {
+  /** Index of the daemon at an address. */
+  public indexOf(address: string): number {
     const [, high, low] = address.split(/[.:]/);
     return Number(high) * 256 + Number(low);
   }
@@ -196,7 +197,8 @@
     return isNear ? nearLatency : farLatency;
   }
 
-  private call<Answer>(
+  /** Runs `serve` at the receiver and brings the answer back, unless a cut or a stop prevents it. */
+  public call<Answer>(
     sender: number,
     receiver: number,
     serve: (node: FleetNode) => Promise<Answer>,
--- /dev/null
+++ b/src/common/configuration/ConfigurationTask.test.ts
@@ -0,0 +1,136 @@
+import { expect } from 'chai';
+import { ConfigurationFleet, sha256 } from '../../bench/simulation/ConfigurationFleet.js';
+import { createContent } from '../../bench/simulation/Documents.js';
+import { VirtualClock, brandAs } from '../base/index.js';
+import type { PresetName, Revision } from '../base/index.js';
+import { encodeHead } from './ConfigurationCodec.js';
+
+/** Bound on the time until a change is in force everywhere, in milliseconds (docs/design.md 1.1). */
+const bound = 16000;
+const hour = 60 * 60 * 1000;
+const note = { author: 'ana', summary: 'a change' };
+const places = ['gam-a', 'gam-b', 'gte-a', 'gte-b'];
+const peak = brandAs<PresetName>('peak');
+
+function placeOf(index: number): { region: string; dataCentre: string } {
+  const dataCentre = places[index % places.length] as string;
+  return { region: dataCentre.slice(0, 3), dataCentre };
+}
+
+async function startFleet(seed: number, size = 16) {
+  const clock = new VirtualClock();
+  const fleet = new ConfigurationFleet({ clock, seed, size, placeOf });
+  await fleet.editor.change(await fleet.editor.read(), createContent(), note);
+  fleet.start();
+  expect(await fleet.timeToRevision(1, bound), 'first revision').to.be.below(bound);
+  // The first watchers are chosen before all members are known.
+  await clock.advanceAsync(10000);
+  return { clock, fleet };
+}
+
+async function switchPreset(fleet: ConfigurationFleet): Promise<void> {
+  const base = await fleet.editor.read();
+  const preset = base.configuration.preset === peak ? brandAs<PresetName>('ordinary') : peak;
+  await fleet.editor.switchPreset(base, preset, note);
+}
+
+describe('ConfigurationTask in a fleet', () => {
+  it('lets two daemons of each data centre watch, whatever the size (seed 31)', async () => {
+    const { fleet } = await startFleet(31, 32);
+    expect(fleet.store.watches.size).to.equal(2 * places.length);
+    fleet.dispose();
+  });
+
+  const faults = [
+    { name: 'no fault', seed: 32, fault: (): void => {} },
+    {
+      name: 'all watchers crashing with the change',
+      seed: 33,
+      fault: (fleet: ConfigurationFleet): void =>
+        fleet.nodes.forEach(({ task }, index) => {
+          if (!task.isWatching) return;
+          task.dispose();
+          fleet.members.crash(index);
+        }),
+    },
+    {
+      name: 'watches that fell silent',
+      seed: 34,
+      fault: (fleet: ConfigurationFleet): void => {
+        fleet.store.areWatchesSilent = true;
+      },
+    },
+    {
+      name: 'the store going away for 5 s after the change',
+      seed: 35,
+      fault: (fleet: ConfigurationFleet, clock: VirtualClock): void => {
+        fleet.store.setDown(true);
+        clock.after(5000, () => fleet.store.setDown(false));
+      },
+    },
+  ];
+  faults.forEach(({ name, seed, fault }) => {
+    it(`puts a change in force everywhere within 16 s with ${name} (seed ${seed})`, async () => {
+      const { clock, fleet } = await startFleet(seed);
+      const isBefore = name !== 'no fault' && seed !== 35;
+      if (isBefore) fault(fleet, clock);
+      await switchPreset(fleet);
+      if (!isBefore) fault(fleet, clock);
+      expect(await fleet.timeToRevision(2, bound)).to.be.below(bound);
+      fleet.dispose();
+    });
+  });
+
+  it('lets a process that starts in an outage of hours learn from its peers (seed 36)', async () => {
+    const { clock, fleet } = await startFleet(36, 8);
+    fleet.store.setDown(true);
+    await clock.advanceAsync(2 * hour);
+    fleet.restart(5);
+    expect(await fleet.timeToRevision(1, bound)).to.be.below(bound);
+    expect(fleet.node(5).revisions).to.deep.equal([1]);
+    fleet.dispose();
+  }).timeout(120000);
+
+  it('returns to the store at random times after an outage (seed 37)', async () => {
+    const { clock, fleet } = await startFleet(37);
+    fleet.store.setDown(true);
+    await clock.advanceAsync(60000);
+    fleet.store.setDown(false);
+    const perStep: number[] = [];
+    for (let step = 0; step < 50; step++) {
+      const before = fleet.store.calls.get('watch') ?? 0;
+      await clock.advanceAsync(100);
+      perStep.push((fleet.store.calls.get('watch') ?? 0) - before);
+    }
+    expect(Math.max(...perStep)).to.be.below(4);
+    expect(fleet.store.watches.size).to.equal(8);
+    fleet.dispose();
+  });
+
+  it('does not go back when lagging and partitioned peers offer older revisions (seed 38)', async () => {
+    const { clock, fleet } = await startFleet(38);
+    const old = fleet.node(0).state.head!;
+    fleet.members.isCut = (sender, receiver) => placeOf(sender).region !== placeOf(receiver).region;
+    await switchPreset(fleet);
+    await switchPreset(fleet);
+    await clock.advanceAsync(bound);
+    fleet.nodes.forEach(({ task }) => task.offer('10.0.0.1:7400', encodeHead(old, sha256)));
+    fleet.members.isCut = () => false;
+    await switchPreset(fleet);
+    expect(await fleet.timeToRevision(4, bound)).to.be.below(bound);
+    fleet.nodes.forEach(({ revisions }) => {
+      expect(revisions).to.deep.equal([...revisions].sort((one, other) => one - other));
+    });
+    fleet.dispose();
+  });
+
+  it('fetches from others when the peer that told of a revision does not answer (seed 39)', async () => {
+    const { fleet } = await startFleet(39);
+    const head = { ...fleet.node(0).state.head!, revision: brandAs<Revision>(9) };
+    const content = encodeHead({ ...head, preset: peak }, sha256);
+    fleet.restart(3);
+    fleet.node(3).task.offer('10.9.9.1:7400', content);
+    expect(await fleet.timeToRevision(9, bound)).to.be.below(bound);
+    fleet.dispose();
+  });
+});
