Route and limit requests by the configuration in force

The daemon follows the store and its peers through the configuration task and applies routes, timeouts, queue lengths, retry shares and cross-region rates. A target that takes back its drain got no work until its next incarnation because its gate stayed closed; it now gets a new gate, and the path test covers it.

--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -10,15 +10,17 @@
   type Disposable,
   type LogSink,
   type RandomSource,
+  storeAdapters,
   type RequestId,
+  type Store,
   type TargetAnnouncement,
 } from '../api/index.js';
-import { largestShare, RetryBudget } from '../common/retry/RetryBudget.js';
-import { RouteTable } from '../common/routing/RouteTable.js';
+import { RetryBudget } from '../common/retry/RetryBudget.js';
 import { CrossRegionBudget } from '../common/selection/CrossRegionBudget.js';
 import { LoadTable } from '../common/selection/LoadTable.js';
 import { Selector } from '../common/selection/Selector.js';
 import { AdminServer } from './AdminServer.js';
+import { ConfigurationDistribution } from './ConfigurationDistribution.js';
 import { DecisionLog } from './DecisionLog.js';
 import { Forwarder, type RoutedRequest } from './Forwarder.js';
 import { GrpcPeerLink } from './GrpcPeerLink.js';
@@ -62,6 +64,10 @@
 
   private readonly metrics = new RequestMetrics();
 
+  private readonly store: Store;
+
+  private readonly configuration: ConfigurationDistribution;
+
   private readonly home: LocalHome;
 
   private readonly connections: PeerConnections;
@@ -92,10 +98,28 @@
       address: settings.peer,
     };
     this.log = new DecisionLog(sink, settings.routeSample, random, () => clock.now());
-    this.home = this.disposables.add(new LocalHome(clock, () => 100));
+    const store = storeAdapters.get(settings.storeAdapter).createStore(settings.store, settings.id);
+    this.store = this.disposables.add(store);
     this.connections = this.disposables.add(new PeerConnections());
+    this.configuration = this.disposables.add(
+      new ConfigurationDistribution({
+        store,
+        connections: this.connections,
+        clock,
+        random,
+        log: this.log,
+      }),
+    );
+    this.home = this.disposables.add(
+      new LocalHome(clock, (service) => this.configuration.limitsOf(service).maxQueue),
+    );
     this.membership = this.disposables.add(this.createMembership());
-    this.peerServer = this.disposables.add(new PeerServer(this.home, this.membership.handlers()));
+    this.peerServer = this.disposables.add(
+      new PeerServer(this.home, {
+        ...this.membership.handlers(),
+        ...this.configuration.handlers(),
+      }),
+    );
     this.admin = this.disposables.add(new AdminServer());
     this.forwarder = this.createForwarder();
     this.front = this.disposables.add(this.createFront());
@@ -110,6 +134,7 @@
     const admin = await this.admin.listen(settings.admin);
     const callers = await this.front.listen(settings.callers);
     this.membership.start();
+    this.configuration.start(this.membership);
     this.logLifecycle('serving');
     return { peer, admin, callers };
   }
@@ -154,19 +179,22 @@
       clock,
       random,
       log: this.log,
-      revisions: { revision: () => 0, head: () => undefined, offer: () => {} },
+      revisions: this.configuration,
     });
   }
 
   private createForwarder(): Forwarder {
     const { clock, random } = this.environment;
-    const crossRegion = new CrossRegionBudget(() => 1_000_000, clock);
+    const crossRegion = new CrossRegionBudget(
+      (service) => this.configuration.limitsOf(service).crossRegionRate,
+      clock,
+    );
     return new Forwarder({
       clock,
       directory: this.membership,
       selector: new Selector(this.identity.location, random, { pathPenalty: () => 0, crossRegion }),
       loads: new LoadTable(clock),
-      retries: new RetryBudget(() => largestShare, clock),
+      retries: new RetryBudget((service) => this.configuration.limitsOf(service).retryShare, clock),
       log: this.log,
       homeOf: (daemon) => this.homeOf(daemon),
     });
@@ -187,28 +215,17 @@
     return new HttpFront({
       clock: this.environment.clock,
       log: this.log,
-      routes: () => this.createRoutes(),
+      routes: () => this.configuration.routes,
       forwarder: this.forwarder,
       runOperation: (request, signal) => this.runOperation(request, signal),
       internal: () => Promise.resolve(false),
       checkLimits: () => {},
-      timeoutOf: (route) => route.timeout ?? 10_000,
+      timeoutOf: (route) => route.timeout ?? this.configuration.limitsOf(route.service).timeout,
       createId: () => this.createRequestId(),
       onFinished: (request) => this.metrics.record(request),
     });
   }
 
-  private createRoutes(): RouteTable {
-    return new RouteTable(
-      this.membership.targets.services().map((service) => ({
-        name: service,
-        service,
-        path: `/${service}`,
-        workClass: 'interactive' as const,
-      })),
-    );
-  }
-
   private createRequestId(): RequestId {
     this.requestCount += 1;
     const { id, incarnation } = this.identity;
--- a/src/daemon/LocalHome.ts
+++ b/src/daemon/LocalHome.ts
@@ -68,7 +68,11 @@
   /** Adds a target or updates it; a new incarnation or address gets new connections and a new queue. */
   public announce(announcement: TargetAnnouncement): void {
     const known = this.targets.get(announcement.id);
+    // A target that takes back its drain needs a new gate, since a draining one stays closed.
+    const isReopened =
+      known?.announcement.state === 'draining' && announcement.state !== 'draining';
     const isSame =
+      !isReopened &&
       known?.announcement.incarnation === announcement.incarnation &&
       known.announcement.address === announcement.address &&
       known.announcement.slots === announcement.slots;
@@ -81,6 +85,13 @@
     if (announcement.state === 'draining') this.targets.get(announcement.id)?.gate.drain();
   }
 
+  /** Applies changed limits to the gates. */
+  public refreshLimits(): void {
+    this.targets.forEach(({ announcement: { slots, service }, gate }) => {
+      gate.configure({ slots, maxQueue: this.maxQueueOf(service) });
+    });
+  }
+
   /** Removes a target that has left; its waiting requests are refused as not run. */
   public remove(id: TargetId): void {
     this.targets.get(id)?.dispose();
--- a/test/Fleet.ts
+++ b/test/Fleet.ts
@@ -1,34 +1,149 @@
-import type { LogLine, DaemonId, DataCentre, Region } from '../src/api/index.js';
-import { brandAs, createRandom } from '../src/api/index.js';
-import { Daemon } from '../src/daemon/Daemon.js';
+import {
+  brandAs,
+  createRandom,
+  storeAdapters,
+  type Configuration,
+  type DaemonId,
+  type DataCentre,
+  type LogLine,
+  type PresetName,
+  type Region,
+  type ServiceName,
+} from '../src/api/index.js';
+import { StoreConfigurationEditor } from '../src/common/configuration/StoreConfigurationEditor.js';
+import { Daemon, type DaemonPorts } from '../src/daemon/Daemon.js';
 import type { DaemonSettings } from '../src/daemon/Settings.js';
+import { findFreePorts } from '../src/node/freePorts.js';
+import { sha256 } from '../src/node/sha256.js';
 import { SystemClock } from '../src/node/SystemClock.js';
+import { MemoryBackend } from '../src/store/MemoryBackend.js';
+import { MemoryStore } from '../src/store/MemoryStore.js';
 
-/** Settings of a daemon on loopback with ports that the system chooses. */
-export function createSettings(id: string, extra: Partial<DaemonSettings> = {}): DaemonSettings {
-  return {
-    id: brandAs<DaemonId>(id),
-    region: brandAs<Region>('gam'),
-    dataCentre: brandAs<DataCentre>('gam-a'),
-    callers: '127.0.0.1:0',
-    peer: '127.0.0.1:0',
-    admin: '127.0.0.1:0',
-    peers: [],
-    store: [],
-    storeAdapter: 'etcd',
-    logSink: 'none',
-    logLevel: 'error',
-    routeSample: 1,
-    notice: 10,
-    ...extra,
-  };
+const seed = 7;
+const pollInterval = 50;
+const maxPolls = 400;
+
+/** Service `lots` with one route, which the tests use. */
+export const lotsContent: Omit<Configuration, 'revision'> = {
+  preset: brandAs<PresetName>('ordinary'),
+  services: [
+    {
+      name: brandAs<ServiceName>('lots'),
+      floor: 0,
+      maxQueue: 100,
+      timeout: 5_000,
+      rate: 0,
+      retryShare: 0.1,
+      crossRegionRate: 1_000_000,
+    },
+  ],
+  routes: [
+    {
+      name: 'lots',
+      service: brandAs<ServiceName>('lots'),
+      path: '/lots',
+      workClass: 'interactive',
+    },
+  ],
+  accounts: [],
+  presets: [{ name: brandAs<PresetName>('ordinary'), reason: 'tests', services: {} }],
+  pauses: [],
+  holds: [],
+};
+
+/** Waits until a condition holds; throws after 20 s. */
+export async function waitUntil(
+  what: string,
+  holds: () => Promise<boolean> | boolean,
+): Promise<void> {
+  for (let polls = 0; polls < maxPolls; polls += 1) {
+    if (await holds()) return;
+    await new Promise((resolve) => {
+      setTimeout(resolve, pollInterval);
+    });
+  }
+  throw new Error(`gave up waiting: ${what}`);
+}
+
+/** A daemon of a test with what it logged. */
+export interface FleetMember {
+  readonly daemon: Daemon;
+  readonly settings: DaemonSettings;
+  readonly lines: LogLine[];
+  ports: DaemonPorts;
 }
 
-/** Daemon in this process whose log lines are kept. */
-export function createDaemon(settings: DaemonSettings, lines: LogLine[] = []): Daemon {
-  return new Daemon(settings, {
-    clock: new SystemClock(),
-    sink: { write: (line) => lines.push(line) },
-    random: createRandom(7),
-  });
+let fleetCount = 0;
+
+/** Several daemons in this process that share one store. */
+export class Fleet {
+  public readonly backend = new MemoryBackend(new SystemClock());
+
+  public readonly members: FleetMember[] = [];
+
+  private readonly adapter: string;
+
+  public constructor() {
+    fleetCount += 1;
+    this.adapter = `memory-${fleetCount}`;
+    storeAdapters.register(this.adapter, {
+      createStore: (_addresses, client) => new MemoryStore(this.backend, client),
+    });
+  }
+
+  /** Starts daemons that know each other and waits until the configuration is in force at all. */
+  public async start(count: number): Promise<void> {
+    const store = new MemoryStore(this.backend, 'operator');
+    const editor = new StoreConfigurationEditor(store, sha256, () => new Date());
+    const base = await editor.read();
+    await editor.change(base, lotsContent, { author: 'test', summary: 'start' });
+    const peers = (await findFreePorts(count)).map((port) => `127.0.0.1:${port}`);
+    for (const [index, peer] of peers.entries()) {
+      await this.startDaemon(`d${index + 1}`, peer, peers);
+    }
+    await waitUntil('the configuration is in force', () =>
+      this.members.every(({ lines }) => lines.some(({ kind }) => kind === 'configuration')),
+    );
+  }
+
+  /** Member at an index. */
+  public at(index: number): FleetMember {
+    const member = this.members.at(index);
+    if (member === undefined) throw new Error(`no daemon ${index}`);
+    return member;
+  }
+
+  /** Ends all daemons at once. */
+  public dispose(): void {
+    this.members.forEach(({ daemon }) => daemon.dispose());
+  }
+
+  private async startDaemon(id: string, peer: string, peers: readonly string[]): Promise<void> {
+    const lines: LogLine[] = [];
+    const settings = this.createSettings(id, peer, peers);
+    const daemon = new Daemon(settings, {
+      clock: new SystemClock(),
+      sink: { write: (line) => lines.push(line) },
+      random: createRandom(seed + this.members.length),
+    });
+    this.members.push({ daemon, settings, lines, ports: await daemon.start() });
+  }
+
+  private createSettings(id: string, peer: string, peers: readonly string[]): DaemonSettings {
+    return {
+      id: brandAs<DaemonId>(id),
+      region: brandAs<Region>('gam'),
+      dataCentre: brandAs<DataCentre>('gam-a'),
+      callers: '127.0.0.1:0',
+      peer,
+      admin: '127.0.0.1:0',
+      peers,
+      store: ['memory'],
+      storeAdapter: this.adapter,
+      logSink: 'none',
+      logLevel: 'error',
+      routeSample: 1,
+      notice: 10,
+    };
+  }
 }
--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -2,11 +2,10 @@
 import { createServer, type Server } from 'node:http';
 import { expect } from 'chai';
 import { request } from 'undici';
-import type { Daemon, DaemonPorts } from '../src/daemon/Daemon.js';
-import { findFreePorts } from '../src/node/freePorts.js';
+import type { DaemonPorts } from '../src/daemon/Daemon.js';
 import { createContent, TargetServer } from '../src/target/TargetServer.js';
 import type { FaultSettings, TargetSettings } from '../src/target/Types.js';
-import { createDaemon, createSettings } from './Fleet.js';
+import { Fleet, waitUntil } from './Fleet.js';
 import { sendRaw, statusOf } from './RawHttp.js';
 
 const targetSettings: TargetSettings = {
@@ -49,27 +48,14 @@
 }
 
 /** Asks until the entry has learned of the target. */
-async function waitUntilServed(ports: DaemonPorts): Promise<void> {
-  for (let tries = 0; tries < 200; tries += 1) {
+function waitUntilServed(ports: DaemonPorts): Promise<void> {
+  return waitUntil('the entry learns of the target', async () => {
     const { statusCode, body } = await request(`http://127.0.0.1:${ports.callers}/lots/x`, {
       method: 'HEAD',
     });
     await body.dump();
-    if (statusCode === 200) return;
-    await new Promise((resolve) => {
-      setTimeout(resolve, 50);
-    });
-  }
-  throw new Error('the entry did not learn of the target');
-}
-
-/** Starts one daemon, or two that know each other. */
-async function startDaemons(count: number): Promise<{ daemon: Daemon; ports: DaemonPorts }[]> {
-  const peers = (await findFreePorts(count)).map((port) => `127.0.0.1:${port}`);
-  const daemons = peers.map((peer, index) =>
-    createDaemon(createSettings(`d${index + 1}`, { peer, peers })),
-  );
-  return Promise.all(daemons.map(async (daemon) => ({ daemon, ports: await daemon.start() })));
+    return statusCode === 200;
+  });
 }
 
 const placements = [
@@ -79,28 +65,29 @@
 
 placements.forEach(({ name: placement, count }) =>
   describe(`path of a request, ${placement}`, () => {
-    let daemons: Awaited<ReturnType<typeof startDaemons>>;
-    let daemon: Daemon;
+    let fleet: Fleet;
     let ports: DaemonPorts;
     let home: DaemonPorts;
     let target: TargetServer;
     let targetPort: number;
 
-    beforeEach(async () => {
-      daemons = await startDaemons(count);
-      const [entry] = daemons;
-      const last = daemons.at(-1);
-      if (entry === undefined || last === undefined) throw new Error('no daemon');
-      ({ daemon, ports } = entry);
-      home = last.ports;
+    before(async () => {
+      fleet = new Fleet();
+      await fleet.start(count);
+      ports = fleet.at(0).ports;
+      home = fleet.at(-1).ports;
       target = new TargetServer(targetSettings, () => {});
       targetPort = await target.listen();
+    });
+
+    beforeEach(async () => {
+      await setFault(targetPort, {});
       await announce(home, targetPort);
       await waitUntilServed(ports);
     });
 
-    afterEach(async () => {
-      daemons.forEach((each) => each.daemon.dispose());
+    after(async () => {
+      fleet.dispose();
       await target.close();
     });
 
@@ -156,23 +143,6 @@
       expect(await countWork(targetPort)).to.equal(before);
     });
 
-    it('finishes a request in flight when it stops, and refuses new connections', async () => {
-      const pending = request(urlOf('/lots/slow?size=1000&work=300'));
-      await new Promise((resolve) => {
-        setTimeout(resolve, 50);
-      });
-      const stopped = daemon.stop();
-      const response = await pending;
-      const body = await response.body.arrayBuffer();
-      await stopped;
-      expect(body.byteLength).to.equal(1_000);
-      const refused = await request(urlOf('/lots/x')).then(
-        () => false,
-        () => true,
-      );
-      expect(refused).to.equal(true);
-    });
-
     const malformed = [
       {
         name: 'Content-Length with Transfer-Encoding',
@@ -221,19 +191,37 @@
         expect(await countWork(targetPort)).to.equal(before);
       });
     });
+
+    it('finishes a request in flight when it stops, and refuses new connections', async () => {
+      const pending = request(urlOf('/lots/slow?size=1000&work=300'));
+      await new Promise((resolve) => {
+        setTimeout(resolve, 50);
+      });
+      const stopped = fleet.at(0).daemon.stop();
+      const response = await pending;
+      const body = await response.body.arrayBuffer();
+      await stopped;
+      expect(body.byteLength).to.equal(1_000);
+      const refused = await request(urlOf('/lots/x')).then(
+        () => false,
+        () => true,
+      );
+      expect(refused).to.equal(true);
+    });
   }),
 );
 
 describe('headers and cancellation', () => {
-  let daemon: Daemon;
+  let fleet: Fleet;
   let ports: DaemonPorts;
   let server: Server;
   let seen: NodeJS.Dict<string | string[]>;
   let closed: Promise<unknown>;
 
   beforeEach(async () => {
-    daemon = createDaemon(createSettings('d1'));
-    ports = await daemon.start();
+    fleet = new Fleet();
+    await fleet.start(1);
+    ports = fleet.at(0).ports;
     server = createServer((incoming, response) => {
       seen = incoming.headers;
       closed = once(response, 'close');
@@ -253,7 +241,7 @@
   });
 
   afterEach(() => {
-    daemon.dispose();
+    fleet.dispose();
     server.closeAllConnections();
     server.close();
   });
