Add the operators' command line

Cause: operators control the fleet by presets and limits and need every change to be understood and reversible. Change: the binary limpettrack. Changes are pure edits that a runner applies to the present revision. A change by someone else to other documents is kept, one to the same documents is shown as a conflict with both versions. A lost answer is settled by reading back; a head that has not moved proves nothing, so it is reported as unknown with its own exit code. Values of the settings reader can now be written as well as read.

--- a/addons/store-etcd/EtcdStore.ts
+++ b/addons/store-etcd/EtcdStore.ts
@@ -224,11 +224,17 @@
         const failure = error ?? EtcdStore.noAnswer();
         if (isEndpointFailure(failure)) this.leave(endpoint.address);
         const origin = { step, peer: endpoint.address, cause: failure };
-        reject(new StoreError(failure.details, judge(failure), origin));
+        reject(new StoreError(this.describe(failure), judge(failure), origin));
       });
     });
   }
 
+  /** The library's text of a timeout lists the steps of its connection. */
+  private describe({ code, details }: ServiceError): string {
+    const isTimeout = code === status.DEADLINE_EXCEEDED;
+    return isTimeout ? `no answer within ${this.options.callTimeout} ms` : details;
+  }
+
   private static noAnswer(): ServiceError {
     const details = 'the answer is empty';
     return Object.assign(new Error(details), {
--- /dev/null
+++ b/src/cli/ChangeCommand.ts
@@ -0,0 +1,85 @@
+import { Option } from 'clipanion';
+import { isLeft } from 'fp-ts/lib/Either.js';
+import { integer } from '../common/settings/index.js';
+import { ChangeRunner } from './ChangeRunner.js';
+import { formatChanges } from './configurationDiff.js';
+import { exitCodes } from './exitCodes.js';
+import type { ExitCode } from './exitCodes.js';
+import { OperatorCommand } from './OperatorCommand.js';
+import type { ChangeConflict, ChangePlan, ChangeReport } from './Types.js';
+
+function formatConflict(report: ChangeConflict): string[] {
+  const { base, present, author, overlap } = report;
+  return [
+    `conflict: your change is NOT in. ${author} changed ${overlap.join(', ')} at revision ${present}.`,
+    `your change, from revision ${base}:`,
+    ...formatChanges(report.ours),
+    `the other change, from revision ${base} to ${present}, which is in:`,
+    ...formatChanges(report.theirs),
+    `To keep the other change, do nothing. To put yours on top, run the command again with --base ${present}.`,
+  ];
+}
+
+function formatUndo(undo: string | undefined, revision: number): string {
+  if (undo !== undefined) return `undo: limpettrack ${undo}`;
+  return `undo, if nothing else has changed since: limpettrack revision restore ${revision - 1}`;
+}
+
+function formatReport(report: ChangeReport, undo: string | undefined): string[] {
+  switch (report.type) {
+    case 'applied':
+      return [
+        `done: the change is in as revision ${report.revision}`,
+        ...formatChanges(report.changes),
+        ...report.keptAuthors.map((author) => `a change by ${author} came between and was kept`),
+        formatUndo(undo, report.revision),
+      ];
+    case 'nothing':
+      return [`nothing to do: revision ${report.revision} says so already`];
+    case 'dry-run':
+      return [
+        `dry run: this would follow revision ${report.revision}; nothing was changed`,
+        ...formatChanges(report.changes),
+      ];
+    case 'unknown':
+      return [
+        'unknown: the answer of the store was lost and the change could not be read back.',
+        `It is in if "limpettrack revision show ${report.revision}" shows it; it is not in if that revision shows another change.`,
+        ...formatChanges(report.changes),
+      ];
+    default:
+      return formatConflict(report);
+  }
+}
+
+const codes: Readonly<Record<ChangeReport['type'], ExitCode>> = {
+  applied: exitCodes.done,
+  nothing: exitCodes.done,
+  'dry-run': exitCodes.done,
+  conflict: exitCodes.conflict,
+  unknown: exitCodes.unknown,
+};
+
+/** Base of the commands that change the configuration. */
+export abstract class ChangeCommand extends OperatorCommand {
+  public dryRun = Option.Boolean('--dry-run', false, {
+    description: 'show what would change and change nothing',
+  });
+
+  public base = Option.String('--base', {
+    description: 'revision that you looked at; a later change of the same thing is a conflict',
+  });
+
+  /** Makes a change and reports it. */
+  protected async change(plan: ChangePlan, fileBase?: number): Promise<ExitCode> {
+    const runner = new ChangeRunner(await this.openEditor(), this.context.clock);
+    const base =
+      this.base === undefined ? fileBase : ChangeCommand.parse('--base', integer(), this.base);
+    const { author } = await this.connections();
+    const options = { author, isDryRun: this.dryRun, ...(base === undefined ? {} : { base }) };
+    const result = await runner.run(plan, options);
+    if (isLeft(result)) return this.refuse(result.left);
+    this.write(result.right, formatReport(result.right, plan.undo));
+    return codes[result.right.type];
+  }
+}
--- /dev/null
+++ b/src/cli/commands/TargetHoldCommand.ts
@@ -0,0 +1,61 @@
+import { Command, Option } from 'clipanion';
+import type { HoldDocument } from '../../common/configuration/Types.js';
+import { ChangeCommand } from '../ChangeCommand.js';
+import { holdTarget } from '../edits.js';
+import { exitCodes } from '../exitCodes.js';
+import type { ExitCode } from '../exitCodes.js';
+import { slotsWithout } from '../slotsWithout.js';
+
+/** Takes a target out of service until it is restored. */
+export class TargetHoldCommand extends ChangeCommand {
+  public static override paths = [
+    ['target', 'eject'],
+    ['target', 'drain'],
+  ];
+
+  public static override usage = Command.Usage({
+    category: 'Targets',
+    description: 'take a target out of service: at once for new work, or as a drain',
+    details: `
+      No request in flight is cut. If a daemon is given, a hold that takes the service below its floor is refused
+      unless --below-floor is given. "target restore" undoes it.
+    `,
+    examples: [['Take out a target', '$0 target eject pujas-3']],
+  });
+
+  public id = Option.String();
+
+  public belowFloor = Option.Boolean('--below-floor', false, {
+    description: 'accept a capacity below the floor',
+  });
+
+  protected override async run(): Promise<ExitCode> {
+    const refusal = this.belowFloor ? undefined : await this.checkFloor();
+    if (refusal !== undefined) {
+      return this.refuse({ exitCode: exitCodes.invalid, message: refusal });
+    }
+    const action = this.path[1] as HoldDocument['action'];
+    const { author } = await this.connections();
+    return this.change({
+      summary: `target ${action} ${this.id}`,
+      undo: `target restore ${this.id}`,
+      edit: holdTarget({ target: this.id, action, author }),
+    });
+  }
+
+  private async checkFloor(): Promise<string | undefined> {
+    if ((await this.connections()).daemons.length === 0) {
+      this.warn('the floor was not checked, because no daemon was given');
+      return undefined;
+    }
+    const client = await this.daemons();
+    const [targets, { services }] = [await client.targets(), await client.status()];
+    const found = targets.find(({ id }) => id === this.id);
+    if (found === undefined)
+      return `the daemon knows no target ${this.id}; --below-floor skips this`;
+    const floor = services.find(({ service }) => service === found.service)?.floor ?? 0;
+    const left = slotsWithout(targets, found);
+    if (left >= floor) return undefined;
+    return `service ${found.service} would have ${left} slots in service, its floor is ${floor}; --below-floor accepts that`;
+  }
+}
--- /dev/null
+++ b/src/cli/table.ts
@@ -0,0 +1,15 @@
+/** Columns of text, aligned to the widest cell. */
+export function formatTable(
+  header: readonly string[],
+  rows: readonly (readonly string[])[],
+): string[] {
+  const widths = header.map((title, column) =>
+    Math.max(title.length, ...rows.map((row) => row[column]?.length ?? 0)),
+  );
+  return [header, ...rows].map((row) =>
+    row
+      .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+      .join('  ')
+      .trimEnd(),
+  );
+}
--- a/src/common/settings/SettingsReader.ts
+++ b/src/common/settings/SettingsReader.ts
@@ -1,9 +1,10 @@
-import { isLeft, left, right } from 'fp-ts/lib/Either.js';
+import { left, right } from 'fp-ts/lib/Either.js';
 import type { Either } from 'fp-ts/lib/Either.js';
 import { InvalidInputError } from '../base/index.js';
 import { IniFile } from './IniFile.js';
 import type { IniSection } from './IniFile.js';
-import type { Field, Fields, Schema, Settings } from './Types.js';
+import { readFields } from './readFields.js';
+import type { Fields, Schema, Settings } from './Types.js';
 
 /** Exit code of a process whose settings or configuration files are wrong (EX_CONFIG of sysexits). */
 export const badSettingsExitCode = 78;
@@ -26,7 +27,10 @@
         const sections = ini.sections.filter((section) => section.kind === kind);
         if (type === 'named') return [kind, this.readNamed(file, sections, fields, problems)];
         const section = sections[0] ?? { kind, name: '', heading: kind, values: new Map() };
-        return [kind, this.readFields(file, section, fields, problems)];
+        return [
+          kind,
+          readFields(`${file}: section [${section.heading}]`, section.values, fields, problems),
+        ];
       }),
     );
     if (problems.length > 0) {
@@ -57,43 +61,10 @@
     problems: string[],
   ): ReadonlyMap<string, Record<string, unknown>> {
     return new Map(
-      sections.map((section) => [section.name, this.readFields(file, section, fields, problems)]),
-    );
-  }
-
-  private readFields(
-    file: string,
-    section: IniSection,
-    fields: Fields,
-    problems: string[],
-  ): Record<string, unknown> {
-    const at = `${file}: section [${section.heading}]`;
-    [...section.values.keys()]
-      .filter((key) => !Object.hasOwn(fields, key))
-      .forEach((key) => {
-        problems.push(`${at}: key "${key}" is unknown; allowed: ${Object.keys(fields).join(', ')}`);
-      });
-    return Object.fromEntries(
-      Object.entries(fields).map(([key, field]) => [
-        key,
-        this.readField(`${at}: key "${key}"`, section.values.get(key), field, problems),
+      sections.map((section) => [
+        section.name,
+        readFields(`${file}: section [${section.heading}]`, section.values, fields, problems),
       ]),
     );
   }
-
-  private readField(
-    at: string,
-    value: string | undefined,
-    { kind, isRequired, fallback }: Field<unknown>,
-    problems: string[],
-  ): unknown {
-    if (value === undefined) {
-      if (isRequired) problems.push(`${at} is missing; allowed: ${kind.allowed}`);
-      return fallback;
-    }
-    const result = kind.parse(value);
-    if (!isLeft(result)) return result.right;
-    problems.push(`${at}: "${value}": ${result.left}; allowed: ${kind.allowed}`);
-    return fallback;
-  }
 }
--- a/src/common/settings/Types.ts
+++ b/src/common/settings/Types.ts
@@ -7,6 +7,8 @@
   readonly allowed: string;
   /** Reads a value; the left side says what is wrong with it. */
   readonly parse: (text: string) => Either<string, Value>;
+  /** Writes a value so that `parse` reads it back. */
+  format(value: Value): string;
 }
 
 /** One key of a section. */
--- a/src/common/settings/kinds.ts
+++ b/src/common/settings/kinds.ts
@@ -15,6 +15,14 @@
   return Object.keys(units).join(', ');
 }
 
+/** Largest unit in which a value is a whole number; the smallest if there is none. */
+function largestUnit(value: number, units: Readonly<Record<string, number>>): [string, number] {
+  const ordered = Object.entries(units).sort(([, one], [, other]) => other - one);
+  const smallest = ordered.at(-1) ?? ['', 1];
+  if (value === 0) return smallest;
+  return ordered.find(([, factor]) => Number.isInteger(value / factor)) ?? smallest;
+}
+
 function isWithin(value: number, { least = 0, greatest = Infinity }: Bounds): boolean {
   return value >= least && value <= greatest;
 }
@@ -34,7 +42,12 @@
     const value = Number(amount) * factor;
     return isWithin(value, bounds) ? right(value) : left('it is out of bounds');
   };
-  return { allowed: `${what} (units: ${describeUnits(units)})`, parse };
+  const format = (value: number): string => {
+    const [unit, factor] = largestUnit(value, units);
+    // Twelve digits hide the error of a binary fraction such as 7 times 0.01.
+    return `${Number((value / factor).toPrecision(12))} ${unit}`;
+  };
+  return { allowed: `${what} (units: ${describeUnits(units)})`, parse, format };
 }
 
 /** Duration in milliseconds: `250 ms`, `3 s`, `5 min`, `24 h`. */
@@ -59,7 +72,7 @@
 export function count(unit: string, bounds: Bounds = {}): ValueKind<number> {
   const kind = quantity(`a whole number such as 24 ${unit}`, { [unit]: 1 }, bounds);
   return {
-    allowed: kind.allowed,
+    ...kind,
     parse: (input) => {
       const result = kind.parse(input);
       if (isLeft(result) || Number.isInteger(result.right)) return result;
@@ -82,6 +95,7 @@
 export function integer(bounds: Bounds = {}): ValueKind<number> {
   return {
     allowed: 'a whole number',
+    format: String,
     parse: (input) => {
       if (!/^\d+$/.test(input)) return left('it is not a whole number');
       return isWithin(Number(input), bounds) ? right(Number(input)) : left('it is out of bounds');
@@ -93,6 +107,7 @@
 export function text(pattern = /^.+$/, allowed = 'text'): ValueKind<string> {
   return {
     allowed,
+    format: String,
     parse: (value) => (pattern.test(value) ? right(value) : left('its form is wrong')),
   };
 }
@@ -109,6 +124,7 @@
 export function flag(): ValueKind<boolean> {
   return {
     allowed: 'yes or no',
+    format: (value) => (value ? 'yes' : 'no'),
     parse: (value) =>
       value === 'yes' || value === 'no' ? right(value === 'yes') : left('it is neither'),
   };
@@ -118,6 +134,7 @@
 export function choice<Word extends string>(...words: readonly Word[]): ValueKind<Word> {
   return {
     allowed: `one of ${words.join(', ')}`,
+    format: String,
     parse: (value) => {
       const found = words.find((word) => word === value);
       return found === undefined ? left('it is none of them') : right(found);
@@ -131,6 +148,7 @@
 export function address(): ValueKind<string> {
   return {
     allowed: 'an address such as 127.0.0.1:8080',
+    format: String,
     parse: (value) => {
       const match = /^(?:[A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\]):(?<port>\d{1,5})$/.exec(value);
       if (match === null) return left('it is not host:port');
@@ -143,6 +161,7 @@
 export function list<Value>(kind: ValueKind<Value>): ValueKind<readonly Value[]> {
   return {
     allowed: `a list separated by commas, each ${kind.allowed}`,
+    format: (values) => values.map(kind.format).join(', '),
     parse: (value) => {
       const values: Value[] = [];
       for (const part of value.split(',').map((item) => item.trim())) {
--- a/src/store/main.ts
+++ b/src/store/main.ts
@@ -2,7 +2,7 @@
 import { Builtins, Cli, Command, Option, UsageError } from 'clipanion';
 import { StoreServer } from './StoreServer.js';
 import type { Address } from './StoreServer.js';
-import { SystemClock } from './SystemClock.js';
+import { SystemClock } from '../daemon/SystemClock.js';
 
 function parseAddress(text: string): Address {
   const match = /^(?<host>[^:]+):(?<port>\d{1,5})$/.exec(text);
