--- a/src/common/operations/Journal.test.ts
+++ b/src/common/operations/Journal.test.ts
@@ -133,6 +133,41 @@
     expect(replayed).to.deep.equal(['late']);
   });
 
+  const falseConfirmations: readonly {
+    name: string;
+    isConfirmed: (former: Journal, bed: Bed, sealedBy: number) => Promise<boolean>;
+  }[] = [
+    {
+      name: 'a read that finds its own segment',
+      isConfirmed: async (former, bed) => {
+        const confirming = former.confirm();
+        await bed.clock.advanceAsync(100);
+        return confirming;
+      },
+    },
+    {
+      name: 'a repeated write that finds its own segment',
+      isConfirmed: async (former, bed, sealedBy) => {
+        await bed.clock.advanceAsync(20_000);
+        return former.isConfirmedSince(sealedBy);
+      },
+    },
+  ];
+  falseConfirmations.forEach(({ name, isConfirmed }) => {
+    it(`does not count ${name} with a seal behind it as a confirmation`, async () => {
+      const bed = new Bed();
+      const state = noFaults();
+      const former = await bed.owner('a.1', state);
+      state.isAnswerCut = true;
+      former.record(intentOf('k')).durable.catch(() => {});
+      await bed.clock.advanceAsync(200);
+      const sealedBy = bed.clock.elapsed() + 100;
+      await bed.owner('b.1');
+      Object.assign(state, noFaults());
+      expect(await isConfirmed(former, bed, sealedBy)).to.equal(false);
+    });
+  });
+
   it('drops a cancelled intent, so that a resend does not become unknown', async () => {
     const bed = new Bed();
     const journal = await bed.owner('a.1');
--- a/src/common/operations/JournalChain.ts
+++ b/src/common/operations/JournalChain.ts
@@ -97,8 +97,9 @@
     const { clock, writer } = this.context;
     const value = encodeSegment({ kind, writer, writtenAt: clock.now().getTime(), records });
     let pause = firstPause;
+    // A later try can find that the first one took effect, and a seal can have followed before that try.
+    const sentAt = clock.elapsed();
     while (!this.isClosed) {
-      const sentAt = clock.elapsed();
       const revision = await this.tryExtend(value);
       this.failIfClosed();
       if (revision !== undefined) return this.advance(revision, sentAt);
@@ -112,13 +113,10 @@
   public async confirm(): Promise<boolean> {
     const sentAt = this.context.clock.elapsed();
     const { head } = this;
-    const next = await this.context.store.get(keyOf(this.range, head + 1));
+    const isExtended = await this.isExtended(head);
     // A successor may have deleted old segments, but then the older one is gone too.
     const last = await this.context.store.get(keyOf(this.range, head));
-    if (this.isClosed || last === undefined) return false;
-    if (next !== undefined && decodeSegment(next.value).writer !== this.context.writer) {
-      return false;
-    }
+    if (this.isClosed || isExtended || last === undefined) return false;
     this.confirmedAt = Math.max(this.confirmedAt, sentAt);
     return true;
   }
@@ -139,6 +137,17 @@
     if (writes.length > 0) await this.context.store.transact([], writes);
   }
 
+  /** Whether another writer has added a segment behind `head`. */
+  private async isExtended(head: number): Promise<boolean> {
+    const { store, writer } = this.context;
+    // Own segments take effect meanwhile, and a seal can be behind them.
+    for (let sequence = head + 1; ; sequence += 1) {
+      const next = await store.get(keyOf(this.range, sequence));
+      if (next === undefined) return false;
+      if (decodeSegment(next.value).writer !== writer) return true;
+    }
+  }
+
   private async tryExtend(value: Uint8Array): Promise<number | undefined> {
     const { clock } = this.context;
     const deadline = clock.elapsed() + callTimeout;
