--- a/src/common/services/Types.ts
+++ b/src/common/services/Types.ts
@@ -75,6 +75,10 @@
   /** Renews a lease; throws `StoreError` if it has lapsed. */
   keepAlive(lease: string): Promise<void>;
   revokeLease(lease: string): Promise<void>;
+  /**
+   * Delivers the changes of all keys that start with `prefix`. A read that begins after `watch` has returned sees
+   * every change that the watch does not deliver, so an owner first watches and then reads.
+   */
   watch(prefix: string): StoreWatch;
 }
 
@@ -96,6 +100,8 @@
   /** Connections that it can hold. */
   readonly connections: number;
   readonly state: 'starting' | 'active' | 'draining';
+  /** Changes of home in this incarnation, counted by the target; orders the claims of two homes. Absent means 0. */
+  readonly move?: number;
 }
 
 /** State of a target as its home sees it. */
