--- a/src/cli/createContext.ts
+++ b/src/cli/createContext.ts
@@ -2,7 +2,7 @@
 import { Cli } from 'clipanion';
 import { storeAdapters } from '../api/index.js';
 import { StoreConfigurationEditor } from '../common/configuration/StoreConfigurationEditor.js';
-import { SystemClock } from '../daemon/SystemClock.js';
+import { SystemClock } from '../node/SystemClock.js';
 import '../daemon/plugins.js';
 import type { OperatorContext } from './Types.js';
 
