Run keyed operations at most once in the daemon

Entries send a keyed operation to its authority, which records the intent before it dispatches. Issued keys, the outcome by key, and mismatch and unknown answers are served over HTTP. A target that sheds load says that it has not started the request, so the operation can go elsewhere.

--- a/src/common/base/Hash.ts
+++ b/src/common/base/Hash.ts
@@ -7,6 +7,11 @@
   return api.h32(input, seed);
 }
 
+/** Fast 64-bit hash of a string, for placing keys. It does not protect against forgery. */
+export function hashString64(input: string): bigint {
+  return api.h64(input);
+}
+
 /** Orders `candidates` by rendezvous hash for `key`, highest rank first. The order is the same in every process. */
 export function rankByRendezvous<Id extends string>(key: string, candidates: readonly Id[]): Id[] {
   const weighed = candidates.map((id) => ({ id, weight: hashString(`${key}\u0000${id}`) }));
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -22,22 +22,26 @@
 import { AdminServer } from './AdminServer.js';
 import { ConfigurationDistribution } from './ConfigurationDistribution.js';
 import { DecisionLog } from './DecisionLog.js';
-import { Forwarder, type RoutedRequest } from './Forwarder.js';
+import { Forwarder } from './Forwarder.js';
 import { GrpcPeerLink } from './GrpcPeerLink.js';
 import { HttpFront } from './HttpFront.js';
 import { LocalHome } from './LocalHome.js';
 import { Membership } from './Membership.js';
+import { OperationFront } from './OperationFront.js';
+import { Operations } from './Operations.js';
 import { PeerConnections } from './PeerConnections.js';
 import { PeerServer } from './PeerServer.js';
 import { RemoteHome } from './RemoteHome.js';
 import { RequestMetrics } from './RequestMetrics.js';
 import { sendJson, sendText } from './Responses.js';
 import type { DaemonSettings } from './Settings.js';
-import type { ForwardAnswer, Home, Identity } from './Types.js';
+import type { Home, Identity } from './Types.js';
 
 const announcePath = '/.limpettrack/targets/';
 /** Milliseconds until a target that did not move to another home has lost its announcement here. */
 const handOverLimit = 4_000;
+/** Milliseconds to write what is recorded and give the key ranges up. */
+const operationStopLimit = 5_000;
 const randomRange = 0x1_0000_0000;
 
 /** What a daemon takes from its process. */
@@ -80,6 +84,10 @@
 
   private readonly forwarder: Forwarder;
 
+  private readonly operations: Operations;
+
+  private readonly operationFront: OperationFront;
+
   private readonly homes = new Map<string, Home>();
 
   private readonly membership: Membership;
@@ -114,14 +122,19 @@
       new LocalHome(clock, (service) => this.configuration.limitsOf(service).maxQueue),
     );
     this.membership = this.disposables.add(this.createMembership());
+    this.forwarder = this.createForwarder();
+    this.operations = this.disposables.add(this.createOperations());
+    this.operationFront = new OperationFront(this.operations, clock, (request, signal) =>
+      this.forwarder.forward(request, signal),
+    );
     this.peerServer = this.disposables.add(
       new PeerServer(this.home, {
+        ...this.operations.handlers(),
         ...this.membership.handlers(),
         ...this.configuration.handlers(),
       }),
     );
     this.admin = this.disposables.add(new AdminServer());
-    this.forwarder = this.createForwarder();
     this.front = this.disposables.add(this.createFront());
     this.addAdminHandlers();
     this.disposables.add(this.membership.announcements.onGone(({ id }) => this.home.remove(id)));
@@ -135,6 +148,7 @@
     const callers = await this.front.listen(settings.callers);
     this.membership.start();
     this.configuration.start(this.membership);
+    this.operations.start();
     this.logLifecycle('serving');
     return { peer, admin, callers };
   }
@@ -149,6 +163,7 @@
     await Promise.all([this.membership.handOver(handOverLimit), notice]);
     this.membership.leave();
     await this.front.drain();
+    await this.operations.stop(operationStopLimit);
     await this.peerServer.drain();
     this.membership.end();
     this.logLifecycle('stopped');
@@ -200,6 +215,21 @@
     });
   }
 
+  private createOperations(): Operations {
+    const { clock, random } = this.environment;
+    const { identity, store, log, membership, connections, forwarder } = this;
+    return new Operations({
+      identity,
+      store,
+      clock,
+      random,
+      log,
+      membership,
+      connections,
+      forwarder,
+    });
+  }
+
   private homeOf(daemon: DaemonId): Home {
     if (daemon === this.identity.id) return this.home;
     const address = this.membership.addressOf(daemon) ?? '';
@@ -217,8 +247,8 @@
       log: this.log,
       routes: () => this.configuration.routes,
       forwarder: this.forwarder,
-      runOperation: (request, signal) => this.runOperation(request, signal),
-      internal: () => Promise.resolve(false),
+      runOperation: (request, signal) => this.operationFront.run(request, signal),
+      internal: (request, response, path) => this.operationFront.handle(request, response, path),
       checkLimits: () => {},
       timeoutOf: (route) => route.timeout ?? this.configuration.limitsOf(route.service).timeout,
       createId: () => this.createRequestId(),
@@ -232,10 +262,6 @@
     return brandAs<RequestId>(`${id}.${incarnation}.${this.requestCount.toString(36)}`);
   }
 
-  private runOperation(request: RoutedRequest, signal: AbortSignal): Promise<ForwardAnswer> {
-    return this.forwarder.forward(request, signal);
-  }
-
   private addAdminHandlers(): void {
     this.admin.on('PUT', announcePath, (request, response) => this.announce(request, response));
     this.admin.on('GET', '/metrics', async (_request, response) => {
--- a/src/daemon/PeerMessages.ts
+++ b/src/daemon/PeerMessages.ts
@@ -30,9 +30,8 @@
   return headers.map(({ name, value }) => [name, value] as const);
 }
 
-/** Head of a forwarded request. */
-export function encodeRequestHead(request: ForwardRequest): RequestHead {
-  const { context } = request;
+/** Context of a request as a part of its head; absent values become empty strings. */
+export function encodeContext(context: RequestContext): RequestHead {
   return {
     id: context.id,
     service: context.service,
@@ -42,6 +41,13 @@
     account: context.account ?? '',
     fingerprint: context.fingerprint ?? '',
     timeout: Math.max(0, Math.round(context.timeout)),
+  };
+}
+
+/** Head of a forwarded request. */
+export function encodeRequestHead(request: ForwardRequest): RequestHead {
+  return {
+    ...encodeContext(request.context),
     target: request.target,
     targetIncarnation: request.targetIncarnation,
     method: request.method,
--- a/src/target/TargetServer.ts
+++ b/src/target/TargetServer.ts
@@ -120,6 +120,8 @@
     const fault = this.activeFault();
     if (fault.isHalfOpen) return;
     if (this.queue.length >= this.settings.slots * shedFactor) {
+      // The request was not started, and says so, so that it may be sent elsewhere.
+      response.setHeader('limpettrack-outcome', 'not-run');
       this.sendJson(response, 503, { error: 'overloaded' });
       return;
     }
