Keep the doubt about a change after a lost answer

Cause: the editor repeats the write of the head after a lost answer. When the store went away before the repetition, the error said not-applied, although the first write could be in; the operator would have been told a falsehood. Change: once an answer was lost, every later failure is reported as unknown. A failure before the head is written is reported as not-applied, because a change without its head is not in.

--- a/src/common/configuration/StoreConfigurationEditor.ts
+++ b/src/common/configuration/StoreConfigurationEditor.ts
@@ -167,19 +167,36 @@
     for (const { digest, content } of chunks) {
       if (held.has(digest)) continue;
       const write: StoreWrite = { type: 'put', key: chunkKey(digest), value: content };
+      await this.writeChunk(write);
+    }
+  }
+
+  /** Without the head a change is not in, whatever became of its chunks. */
+  private async writeChunk(write: StoreWrite): Promise<void> {
+    try {
       await this.retryUnknown(() => this.store.transact([], [write]));
+    } catch (cause) {
+      if (!(cause instanceof StoreError)) throw cause;
+      const origin = { step: 'configuration.writeChunk', peer: write.key, cause };
+      throw new StoreError('a chunk was not written', 'not-applied', origin);
     }
   }
 
-  /** Repeats, after a lost answer, a write that does the same when it runs twice. */
+  /**
+   * Repeats, after a lost answer, a write that does the same when it runs twice. Once an answer was lost, no later
+   * failure proves that the write is not in.
+   */
   private async retryUnknown(write: () => Promise<unknown>): Promise<void> {
+    let lost: StoreError | undefined;
     for (let attempt = 1; ; attempt++) {
       try {
         await write();
         return;
       } catch (error) {
-        const isLost = error instanceof StoreError && error.outcome === 'unknown';
-        if (!isLost || attempt >= writeAttempts) throw error;
+        if (!(error instanceof StoreError)) throw error;
+        if (error.outcome === 'unknown') lost = error;
+        if (error.outcome === 'unknown' && attempt < writeAttempts) continue;
+        throw lost ?? error;
       }
     }
   }
