Check histories of keyed operations under random faults

Four daemons on a virtual clock with a store that is down, slow, loses answers or applies writes late, one-way cuts, pauses past the lease, crashes, planned stops, and callers that resend through other daemons.

The seal is not among them: no caller can notice its absence (model/operations.pml checks what it is for).

--- /dev/null
+++ b/src/bench/operations/Variants.ts
@@ -0,0 +1,117 @@
+import type { Store } from '../../api/index.js';
+import type { Records } from '../../common/operations/OperationRunner.js';
+import type { Decision, IntentLog, OperationLedger } from '../../common/operations/index.js';
+import type { Variant } from './SimulatedDaemon.js';
+import type { Violation } from './Types.js';
+
+/** Variant of the fleet without one guard, and the rule that then breaks. */
+export interface BrokenGuard {
+  readonly guard: string;
+  readonly breaks: Violation['rule'];
+  readonly variant: Variant;
+}
+
+function delegate(log: IntentLog): IntentLog {
+  return {
+    record: (intent) => log.record(intent),
+    append: (record) => log.append(record),
+    isConfirmedSince: (time) => log.isConfirmedSince(time),
+    confirm: () => log.confirm(),
+    read: (sequence, key) => log.read(sequence, key),
+  };
+}
+
+function startEarly({ ledger, log }: Records): Records {
+  const record: IntentLog['record'] = (intent) => {
+    log.record(intent).durable.catch(() => {});
+    return { durable: Promise.resolve(1), cancel: () => false };
+  };
+  return { ledger, log: { ...delegate(log), record } };
+}
+
+function trustItself({ ledger, log }: Records): Records {
+  const confirm = (): Promise<boolean> => Promise.resolve(true);
+  return { ledger, log: { ...delegate(log), isConfirmedSince: () => true, confirm } };
+}
+
+function restartUnknown({ ledger, log }: Records): Records {
+  const begin: OperationLedger['begin'] = (key, fingerprint): Decision => {
+    const decision = ledger.begin(key, fingerprint);
+    if (decision.type !== 'unknown') return decision;
+    ledger.release(key, { type: 'moved' });
+    return ledger.begin(key, fingerprint);
+  };
+  const changed = new Proxy(ledger, {
+    get(target, name) {
+      if (name === 'begin') return begin;
+      const value: unknown = Reflect.get(target, name);
+      return typeof value === 'function' ? (value.bind(target) as unknown) : value;
+    },
+  });
+  return { ledger: changed, log };
+}
+
+function writeWithoutCompare(store: Store): Store {
+  const transact: Store['transact'] = (compares, writes) => {
+    const isJournal = writes.some(({ key }) => key.startsWith('journal/'));
+    return store.transact(isJournal ? [] : compares, writes);
+  };
+  return new Proxy(store, {
+    get(target, name) {
+      if (name === 'transact') return transact;
+      const value: unknown = Reflect.get(target, name);
+      return typeof value === 'function' ? (value.bind(target) as unknown) : value;
+    },
+  });
+}
+
+/** One variant for each guard whose removal a caller can notice. */
+export const brokenGuards: readonly BrokenGuard[] = [
+  {
+    guard: 'an intent is in the journal before the start',
+    breaks: 'started-twice',
+    variant: { records: startEarly },
+  },
+  {
+    guard: 'segments are created by compare-and-swap',
+    breaks: 'started-twice',
+    variant: { store: writeWithoutCompare },
+  },
+  {
+    guard: 'an unknown operation is never started again',
+    breaks: 'started-twice',
+    variant: { records: restartUnknown },
+  },
+  {
+    guard: 'only a not-started refusal allows another target',
+    breaks: 'started-twice',
+    variant: {
+      dispatch: (dispatch) => async (payload, timeout) => {
+        const result = await dispatch(payload, timeout);
+        return result.type === 'unknown' ? dispatch(payload, timeout) : result;
+      },
+    },
+  },
+  {
+    guard: 'a refusal as not run needs a confirmed owner',
+    breaks: 'false-not-run',
+    variant: { records: trustItself },
+  },
+  {
+    guard: 'an entry that reaches no authority does not say not run of a resend',
+    breaks: 'false-not-run',
+    variant: {
+      answer: (result) =>
+        result.outcome === 'unknown' && result.message.includes('cannot be reached')
+          ? { outcome: 'not-run', reason: 'authority-away', message: result.message }
+          : result,
+    },
+  },
+  {
+    guard: 'a key belongs to one fingerprint',
+    breaks: 'wrong-answer',
+    variant: {
+      request: (request) => ({ ...request, fingerprint: 'same' as typeof request.fingerprint }),
+    },
+  },
+];
