Report short and long load apart and give bulk work a share

The entry compares waits for the kind of work that the route was last counted as.

Bulk work keeps an eighth of the slot time and of the queue beside interactive work. Without that a lasting overload by interactive work would refuse all of it.

--- a/src/common/admission/Gate.test.ts
+++ b/src/common/admission/Gate.test.ts
@@ -136,6 +136,21 @@
     expect(log.started).to.deep.equal(['l1', 'l2']);
   });
 
+  it('starts bulk work among a stream of interactive work, or downloads never arrive', () => {
+    const { clock, log, submit, release } = createBench({ maxQueue: 50 });
+    submit('first');
+    for (let index = 0; index < 40; index += 1) submit(`b${index} bulk short 60000`);
+    for (let index = 0; index < 400; index += 1) {
+      submit(`i${index} interactive short 60000`);
+      clock.advance(10);
+      release(log.started.at(-1) ?? '');
+    }
+    const share = log.started.filter((id) => id.startsWith('b')).length / log.started.length;
+    expect(share).to.be.within(0.04, 0.13);
+    const refusedBulk = log.refused.filter((text) => text.startsWith('b'));
+    expect(40 - refusedBulk.length).to.be.at.least(6);
+  });
+
   it('never starts a cancelled request', () => {
     const { log, submit, release } = createBench();
     submit('a');
--- a/src/common/admission/Gate.ts
+++ b/src/common/admission/Gate.ts
@@ -10,6 +10,7 @@
   Permit,
   SlotOutcome,
 } from './Types.js';
+import { bulkShare, ClassShare } from './ClassShare.js';
 import { WaitingQueue } from './WaitingQueue.js';
 
 /** Result of asking for a slot. */
@@ -54,6 +55,8 @@
 
   private readonly running = new Set<Running>();
 
+  private readonly share = new ClassShare();
+
   private longRunning = 0;
 
   private lastShort = -Infinity;
@@ -61,7 +64,8 @@
   /** Measured time of this target divided by the time expected of its service. */
   private slowness = 1;
 
-  private serviceTime = 0;
+  /** Mean times in a slot in milliseconds. */
+  private readonly meanTime = { all: 0, short: 0, long: 0 };
 
   private isDraining = false;
 
@@ -77,14 +81,26 @@
 
   /** Present load, as each answer of the home carries it. */
   public get load(): TargetLoad {
+    const queued = this.queue.size;
+    const running = this.running.size;
+    const longQueued = this.queue.all.filter(({ isLong }) => isLong).length;
+    const long = { queued: longQueued, running: this.longRunning };
+    const short = { queued: queued - longQueued, running: running - this.longRunning };
     return {
-      queued: this.queue.size,
-      running: this.running.size,
+      queued,
+      running,
       slots: this.settings.slots,
-      serviceTime: this.serviceTime,
+      serviceTime: this.meanTime.all,
+      long: { ...long, serviceTime: this.meanTime.long },
+      short: { ...short, serviceTime: this.meanTime.short },
     };
   }
 
+  /** Load to be sent with the answer to a request, which tells the entry how its route is counted. */
+  public loadFor(permit: Permit): TargetLoad {
+    return { ...this.load, isLong: permit.facts.isLong };
+  }
+
   /** Whether nothing runs and nothing waits. */
   public get isIdle(): boolean {
     return this.running.size === 0 && this.queue.size === 0;
@@ -161,22 +177,35 @@
     this.scheduleExpiry();
   }
 
-  /** Keeps the queue in its bound: the last of a lower class goes, otherwise the new request. */
+  /** Keeps the queue in its bound. Critical work goes last; bulk work keeps its part of the queue. */
   private evictFor(ticket: Ticket): void {
-    const victim = this.queue.lastBelow(ticket.workClass) ?? ticket;
+    const bulk = this.queue.count('bulk');
+    const isBulkFirst = bulk > Math.floor(this.settings.maxQueue * bulkShare);
+    const order: readonly WorkClass[] = isBulkFirst
+      ? ['bulk', 'interactive', 'critical']
+      : ['interactive', 'bulk', 'critical'];
+    const victims = order.map((workClass) => this.queue.lastOf(workClass));
+    const victim = victims.find((each) => each !== undefined) ?? ticket;
     if (this.queue.remove(victim)) this.refuse(victim, 'queue-full');
   }
 
   private startNext(): void {
     while (this.running.size < this.settings.slots) {
       this.expire();
-      const next = this.queue.all.find((ticket) => this.mayStart(ticket));
+      const next = this.findNext();
       if (next === undefined) return;
       this.queue.remove(next);
       this.start(next);
     }
   }
 
+  private findNext(): Ticket | undefined {
+    const next = this.queue.all.find((ticket) => this.mayStart(ticket));
+    if (next?.workClass !== 'interactive' || !this.share.isBulkOwed) return next;
+    const bulk = this.queue.all.find((each) => each.workClass === 'bulk' && this.mayStart(each));
+    return bulk ?? next;
+  }
+
   private mayStart(ticket: Ticket): boolean {
     return !ticket.isLong || !this.isShortPresent() || this.longRunning < this.longLimit();
   }
@@ -193,6 +222,7 @@
     const running: Running = { ticket, started: this.clock.elapsed() };
     this.running.add(running);
     if (ticket.isLong) this.longRunning += 1;
+    this.share.record(ticket.workClass, ticket.expectedCost, this.meanTime.all);
     ticket.decide(
       right({
         facts: this.describe(ticket),
@@ -216,17 +246,30 @@
     const ratio = time / Math.max(expected, Number.EPSILON);
     const bounded = Math.min(ratioBounds.highest, Math.max(ratioBounds.lowest, ratio));
     this.slowness += speedWeight * (bounded - this.slowness);
-    this.serviceTime += (this.serviceTime === 0 ? 1 : speedWeight) * (time - this.serviceTime);
+    this.recordTime('all', time);
+    this.recordTime(ticket.isLong ? 'long' : 'short', time);
     this.cost.record(ticket.route, time);
   }
 
+  private recordTime(kind: 'all' | 'short' | 'long', time: number): void {
+    const mean = this.meanTime[kind];
+    this.meanTime[kind] += (mean === 0 ? 1 : speedWeight) * (time - mean);
+  }
+
   /** Milliseconds until a request of this order would get a slot. */
   private expectWait(workClass: WorkClass, deadline: number, isLong: boolean): number {
     if (this.running.size < this.settings.slots && this.queue.size === 0) return 0;
     const ahead = this.queue.ahead({ workClass, deadline });
     const rivals = isLong ? ahead : ahead.filter((ticket) => !ticket.isLong);
-    const work = rivals.reduce((sum, ticket) => sum + ticket.expectedCost, 0);
-    return this.expectFreeSlot(isLong) + work / this.slotsFor(isLong);
+    const work = Gate.sumCosts(rivals);
+    const bulk = Gate.sumCosts(rivals.filter((ticket) => ticket.workClass === 'bulk'));
+    // Interactive work cannot hold up bulk work for longer than the share of bulk work allows.
+    const delaying = workClass === 'bulk' ? Math.min(work, bulk / bulkShare) : work;
+    return this.expectFreeSlot(isLong) + delaying / this.slotsFor(isLong);
+  }
+
+  private static sumCosts(tickets: readonly Ticket[]): number {
+    return tickets.reduce((sum, ticket) => sum + ticket.expectedCost, 0);
   }
 
   private slotsFor(isLong: boolean): number {
@@ -295,7 +338,7 @@
       expectedWait: ticket.expectedWait,
       expectedCost: ticket.expectedCost,
       waited: this.clock.elapsed() - ticket.arrived,
-      load: this.load,
+      load: { ...this.load, isLong: ticket.isLong },
     };
   }
 }
--- a/src/common/admission/WaitingQueue.ts
+++ b/src/common/admission/WaitingQueue.ts
@@ -57,11 +57,14 @@
     return taken;
   }
 
-  /** The item that goes last, if it is of a lower class than `workClass`. */
-  public lastBelow(workClass: WorkClass): Item | undefined {
-    const last = this.items.at(-1);
-    if (last === undefined) return undefined;
-    return classRank[last.workClass] > classRank[workClass] ? last : undefined;
+  /** Number of items of a class. */
+  public count(workClass: WorkClass): number {
+    return this.items.filter((item) => item.workClass === workClass).length;
+  }
+
+  /** The item of a class that goes last. */
+  public lastOf(workClass: WorkClass): Item | undefined {
+    return this.items.findLast((item) => item.workClass === workClass);
   }
 
   private position(item: Waiting): number {
--- a/src/common/selection/Selector.ts
+++ b/src/common/selection/Selector.ts
@@ -85,18 +85,18 @@
   }
 
   private findUsable(
-    { avoid }: Selection,
+    { avoid, context }: Selection,
     candidates: readonly TargetEntry[],
     load: LoadView,
   ): readonly Candidate[] {
     const usable = candidates.filter(({ status }) => usableStates.has(status));
     const fresh = usable.filter(({ id }) => avoid?.has(id) !== true);
-    return fresh.map((target) => this.assess(target, load));
+    return fresh.map((target) => this.assess(target, load, context.route));
   }
 
-  private assess(target: TargetEntry, load: LoadView): Candidate {
+  private assess(target: TargetEntry, load: LoadView, route: string): Candidate {
     const locality = this.localityOf(target.location);
-    const estimate = load.estimate(target);
+    const estimate = load.estimate(target, route);
     // A target with a part of its share has the same part of its slots for this comparison.
     const slots = Math.max(estimate.slots * target.share, Number.EPSILON);
     const wait = (Math.max(0, estimate.total) / slots) * estimate.serviceTime;
--- a/src/common/selection/Types.ts
+++ b/src/common/selection/Types.ts
@@ -16,8 +16,9 @@
 
 /** Estimated load of a target as the entry sees it. */
 export interface LoadEstimate {
-  /** Requests at the target, running and waiting, with those of this entry. */
+  /** Requests of the kind at the target, running and waiting, with those of this entry. */
   readonly total: number;
+  /** Slots that work of the kind can use. */
   readonly slots: number;
   /** Mean service time in milliseconds. */
   readonly serviceTime: number;
@@ -27,15 +28,16 @@
 
 /** Gives the estimated load of a target. */
 export interface LoadView {
-  estimate(target: TargetEntry): LoadEstimate;
+  /** Load of the kind of work, short or long, that the route was last counted as; short if it is not known. */
+  estimate(target: TargetEntry, route?: string): LoadEstimate;
 }
 
 /** Records requests of this entry and the loads that homes report. */
 export interface LoadRecorder extends LoadView {
   /** The entry sends a request to the target. */
-  sent(target: TargetId): void;
+  sent(target: TargetId, route?: string): void;
   /** The request ended; `load` is the report of the home, if one came. */
-  ended(target: TargetId, load?: TargetLoad): void;
+  ended(target: TargetId, load?: TargetLoad, route?: string): void;
 }
 
 /** Target that was chosen, and why. */
--- a/src/common/services/Types.ts
+++ b/src/common/services/Types.ts
@@ -129,6 +129,14 @@
   readonly timeout: number;
 }
 
+/** Part of a target's load that is caused by short or by long work. */
+export interface LoadPart {
+  readonly queued: number;
+  readonly running: number;
+  /** Mean service time of the last requests in milliseconds; 0 if there were none. */
+  readonly serviceTime: number;
+}
+
 /** Load of a target, carried in each answer of its home. */
 export interface TargetLoad {
   readonly queued: number;
@@ -136,6 +144,12 @@
   readonly slots: number;
   /** Mean service time of the last requests in milliseconds. */
   readonly serviceTime: number;
+  /** Part of long work; absent if the home does not tell. The rest is short. */
+  readonly long?: LoadPart;
+  /** Part of short work; absent if the home does not tell. */
+  readonly short?: LoadPart;
+  /** Whether the home counts the answered request as long work. */
+  readonly isLong?: boolean;
 }
 
 /** How one request at a target ended. */
