--- /dev/null
+++ b/src/bench/admission/policies.ts
@@ -0,0 +1,58 @@
+import { RetryBudget } from '../../common/retry/RetryBudget.js';
+import type { RetryAllowance } from '../../common/retry/Types.js';
+import { BaselineEntry, createLeastOutstanding, createRoundRobin } from './BaselineEntry.js';
+import { Fleet } from './Fleet.js';
+import { FleetEntry } from './FleetEntry.js';
+import { Traffic } from './Traffic.js';
+import type { Observation, RunSettings, SimulatedEntry } from './Types.js';
+
+/** Name of a policy and how its entries are made. */
+export interface Policy {
+  readonly name: string;
+  create(fleet: Fleet, index: number): SimulatedEntry;
+}
+
+/** Result of one run. */
+export interface Run {
+  readonly fleet: Fleet;
+  readonly observations: readonly Observation[];
+}
+
+/** Retries of the baselines. */
+const fixedRetries = 3;
+
+/** The policy of this project. */
+export const limpettrack: Policy = {
+  name: 'limpettrack',
+  create: (fleet, index) => new FleetEntry(fleet, index, new RetryBudget(() => 0.1, fleet.clock)),
+};
+
+/** As limpettrack, but every failure may be retried. */
+export const unlimitedRetries: Policy = {
+  name: 'limpettrack without budget',
+  create: (fleet, index) => {
+    const all: RetryAllowance = { recordRequest: () => {}, takeRetry: () => true };
+    return new FleetEntry(fleet, index, all);
+  },
+};
+
+/** Round robin over the targets. */
+export const roundRobin: Policy = {
+  name: 'round robin',
+  create: (fleet, index) => new BaselineEntry(fleet, createRoundRobin(index), fixedRetries),
+};
+
+/** Fewest outstanding requests of the entry. */
+export const leastOutstanding: Policy = {
+  name: 'least outstanding requests',
+  create: (fleet) => new BaselineEntry(fleet, createLeastOutstanding(fleet.random), fixedRetries),
+};
+
+/** Runs the traffic of `settings` against a new fleet under a policy. */
+export function runPolicy(policy: Policy, settings: RunSettings, seed: number): Run {
+  const fleet = new Fleet(settings.size, seed);
+  const entries = Array.from({ length: settings.size.entries }, (_, index) =>
+    policy.create(fleet, index),
+  );
+  return { fleet, observations: new Traffic(fleet, entries, settings).run() };
+}
--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -1,4 +1,6 @@
+import { crest } from './scenarios/crest.js';
+import { headOfLine } from './scenarios/headOfLine.js';
 import type { Scenario } from './Types.js';
 
 /** All scenarios, in the order of the report. */
-export const scenarios: readonly Scenario[] = [];
+export const scenarios: readonly Scenario[] = [headOfLine, crest];
