--- a/src/common/admission/ClassShare.ts
+++ b/src/common/admission/ClassShare.ts
@@ -19,7 +19,9 @@
   /** Counts a start with its expected cost in milliseconds, weighed against the mean cost of a start. */
   public record(workClass: WorkClass, cost: number, meanCost: number): void {
     if (workClass === 'critical') return;
-    const weight = Math.min(1, (startWeight * cost) / Math.max(meanCost, Number.EPSILON));
+    // Before the first answer there is no mean to weigh against.
+    const relativeCost = meanCost > 0 ? cost / meanCost : 1;
+    const weight = Math.min(1, startWeight * relativeCost);
     const sample = workClass === 'bulk' ? 1 : 0;
     this.bulk += weight * (sample - this.bulk);
   }
