--- /dev/null
+++ b/src/daemon/Daemon.ts
@@ -0,0 +1,261 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { json } from 'node:stream/consumers';
+import { isLeft } from 'fp-ts/lib/Either.js';
+import {
+  brandAs,
+  createIncarnation,
+  DisposableStore,
+  type Clock,
+  type DaemonId,
+  type Disposable,
+  type LogSink,
+  type RandomSource,
+  storeAdapters,
+  type RequestId,
+  type Store,
+  type TargetAnnouncement,
+} from '../api/index.js';
+import { RetryBudget } from '../common/retry/RetryBudget.js';
+import { CrossRegionBudget } from '../common/selection/CrossRegionBudget.js';
+import { LoadTable } from '../common/selection/LoadTable.js';
+import { Selector } from '../common/selection/Selector.js';
+import { AdminServer } from './AdminServer.js';
+import { ConfigurationDistribution } from './ConfigurationDistribution.js';
+import { DecisionLog } from './DecisionLog.js';
+import { Forwarder, type RoutedRequest } from './Forwarder.js';
+import { GrpcPeerLink } from './GrpcPeerLink.js';
+import { HttpFront } from './HttpFront.js';
+import { LocalHome } from './LocalHome.js';
+import { Membership } from './Membership.js';
+import { PeerConnections } from './PeerConnections.js';
+import { PeerServer } from './PeerServer.js';
+import { RemoteHome } from './RemoteHome.js';
+import { RequestMetrics } from './RequestMetrics.js';
+import { sendJson, sendText } from './Responses.js';
+import type { DaemonSettings } from './Settings.js';
+import type { ForwardAnswer, Home, Identity } from './Types.js';
+
+const announcePath = '/.limpettrack/targets/';
+/** Milliseconds until a target that did not move to another home has lost its announcement here. */
+const handOverLimit = 4_000;
+const randomRange = 0x1_0000_0000;
+
+/** What a daemon takes from its process. */
+export interface DaemonEnvironment {
+  readonly clock: Clock;
+  readonly sink: LogSink;
+  readonly random: RandomSource;
+}
+
+/** Ports that a daemon listens on. */
+export interface DaemonPorts {
+  readonly peer: number;
+  readonly admin: number;
+  readonly callers: number;
+}
+
+/** One daemon: wires the services and owns their life time. */
+export class Daemon implements Disposable {
+  private readonly disposables = new DisposableStore();
+
+  private readonly identity: Identity;
+
+  private readonly log: DecisionLog;
+
+  private readonly metrics = new RequestMetrics();
+
+  private readonly store: Store;
+
+  private readonly configuration: ConfigurationDistribution;
+
+  private readonly home: LocalHome;
+
+  private readonly connections: PeerConnections;
+
+  private readonly peerServer: PeerServer;
+
+  private readonly admin: AdminServer;
+
+  private readonly front: HttpFront;
+
+  private readonly forwarder: Forwarder;
+
+  private readonly homes = new Map<string, Home>();
+
+  private readonly membership: Membership;
+
+  private requestCount = 0;
+
+  public constructor(
+    private readonly settings: DaemonSettings,
+    private readonly environment: DaemonEnvironment,
+  ) {
+    const { clock, random, sink } = environment;
+    this.identity = {
+      id: settings.id,
+      incarnation: createIncarnation(clock.now(), random() * randomRange),
+      location: { region: settings.region, dataCentre: settings.dataCentre },
+      address: settings.peer,
+    };
+    this.log = new DecisionLog(sink, settings.routeSample, random, () => clock.now());
+    const store = storeAdapters.get(settings.storeAdapter).createStore(settings.store, settings.id);
+    this.store = this.disposables.add(store);
+    this.connections = this.disposables.add(new PeerConnections());
+    this.configuration = this.disposables.add(
+      new ConfigurationDistribution({
+        store,
+        connections: this.connections,
+        clock,
+        random,
+        log: this.log,
+      }),
+    );
+    this.home = this.disposables.add(
+      new LocalHome(clock, (service) => this.configuration.limitsOf(service).maxQueue),
+    );
+    this.membership = this.disposables.add(this.createMembership());
+    this.peerServer = this.disposables.add(
+      new PeerServer(this.home, {
+        ...this.membership.handlers(),
+        ...this.configuration.handlers(),
+      }),
+    );
+    this.admin = this.disposables.add(new AdminServer());
+    this.forwarder = this.createForwarder();
+    this.front = this.disposables.add(this.createFront());
+    this.addAdminHandlers();
+    this.disposables.add(this.membership.announcements.onGone(({ id }) => this.home.remove(id)));
+  }
+
+  /** Opens the sockets and returns their ports; throws if an address cannot be bound. */
+  public async start(): Promise<DaemonPorts> {
+    const { settings } = this;
+    const peer = await this.peerServer.listen(settings.peer);
+    const admin = await this.admin.listen(settings.admin);
+    const callers = await this.front.listen(settings.callers);
+    this.membership.start();
+    this.configuration.start(this.membership);
+    this.logLifecycle('serving');
+    return { peer, admin, callers };
+  }
+
+  /** Graceful shutdown: targets move to other homes, callers leave, and no request in flight is cut. */
+  public async stop(): Promise<void> {
+    this.logLifecycle('stopping');
+    this.front.announceStop();
+    const notice = new Promise<void>((resolve) => {
+      this.environment.clock.after(this.settings.notice, resolve);
+    });
+    await Promise.all([this.membership.handOver(handOverLimit), notice]);
+    this.membership.leave();
+    await this.front.drain();
+    await this.peerServer.drain();
+    this.membership.end();
+    this.logLifecycle('stopped');
+    this.dispose();
+  }
+
+  public dispose(): void {
+    this.disposables.dispose();
+  }
+
+  private logLifecycle(message: string): void {
+    const { id, incarnation, location } = this.identity;
+    this.log.write({
+      level: 'info',
+      kind: 'lifecycle',
+      message,
+      fields: { daemon: id, incarnation, dataCentre: location.dataCentre },
+    });
+  }
+
+  private createMembership(): Membership {
+    const { clock, random } = this.environment;
+    return new Membership({
+      identity: this.identity,
+      adminAddress: this.settings.admin,
+      contacts: this.settings.peers,
+      link: new GrpcPeerLink(this.connections),
+      clock,
+      random,
+      log: this.log,
+      revisions: this.configuration,
+    });
+  }
+
+  private createForwarder(): Forwarder {
+    const { clock, random } = this.environment;
+    const crossRegion = new CrossRegionBudget(
+      (service) => this.configuration.limitsOf(service).crossRegionRate,
+      clock,
+    );
+    return new Forwarder({
+      clock,
+      directory: this.membership,
+      selector: new Selector(this.identity.location, random, { pathPenalty: () => 0, crossRegion }),
+      loads: new LoadTable(clock),
+      retries: new RetryBudget((service) => this.configuration.limitsOf(service).retryShare, clock),
+      log: this.log,
+      homeOf: (daemon) => this.homeOf(daemon),
+    });
+  }
+
+  private homeOf(daemon: DaemonId): Home {
+    if (daemon === this.identity.id) return this.home;
+    const address = this.membership.addressOf(daemon) ?? '';
+    let home = this.homes.get(address);
+    if (home === undefined) {
+      home = new RemoteHome(address, this.connections);
+      this.homes.set(address, home);
+    }
+    return home;
+  }
+
+  private createFront(): HttpFront {
+    return new HttpFront({
+      clock: this.environment.clock,
+      log: this.log,
+      routes: () => this.configuration.routes,
+      forwarder: this.forwarder,
+      runOperation: (request, signal) => this.runOperation(request, signal),
+      internal: () => Promise.resolve(false),
+      checkLimits: () => {},
+      timeoutOf: (route) => route.timeout ?? this.configuration.limitsOf(route.service).timeout,
+      createId: () => this.createRequestId(),
+      onFinished: (request) => this.metrics.record(request),
+    });
+  }
+
+  private createRequestId(): RequestId {
+    this.requestCount += 1;
+    const { id, incarnation } = this.identity;
+    return brandAs<RequestId>(`${id}.${incarnation}.${this.requestCount.toString(36)}`);
+  }
+
+  private runOperation(request: RoutedRequest, signal: AbortSignal): Promise<ForwardAnswer> {
+    return this.forwarder.forward(request, signal);
+  }
+
+  private addAdminHandlers(): void {
+    this.admin.on('PUT', announcePath, (request, response) => this.announce(request, response));
+    this.admin.on('GET', '/metrics', async (_request, response) => {
+      const text = await this.metrics.text();
+      response.writeHead(200, { 'content-type': this.metrics.registry.contentType });
+      response.end(text);
+    });
+    this.admin.on('GET', '/why', async (_request, response, url) => {
+      sendJson(response, 200, this.log.find(url.searchParams.get('id') ?? ''));
+    });
+  }
+
+  private async announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const announcement = (await json(request)) as TargetAnnouncement;
+    const taken = this.membership.announcements.announce(announcement);
+    if (isLeft(taken)) {
+      sendText(response, 409, taken.left);
+      return;
+    }
+    this.home.announce(announcement);
+    sendJson(response, 200, {});
+  }
+}
