--- a/src/bench/admission/FleetEntry.ts
+++ b/src/bench/admission/FleetEntry.ts
@@ -65,10 +65,10 @@
       return;
     }
     const { id } = chosen.entry;
-    this.loads.sent(id);
+    this.loads.sent(id, request.kind.route);
     this.fleet.attempts += 1;
     this.run(chosen, context, request, (result) => {
-      this.loads.ended(id, result.load);
+      this.loads.ended(id, result.load, request.kind.route);
       this.conclude(request, new Set([...avoid, id]), result, done);
     });
   }
@@ -133,7 +133,7 @@
       if (isOver) return;
       isOver = true;
       permit.release({ kind });
-      const { load } = gate;
+      const load = gate.loadFor(permit);
       clock.after(hop, () => done({ kind, load, retryAfter: 0 }));
     };
     this.fleet.starts += 1;
--- a/src/bench/admission/Traffic.ts
+++ b/src/bench/admission/Traffic.ts
@@ -15,11 +15,13 @@
 /** Spread of service times: standard deviation of their logarithm. */
 const spread = 0.3;
 
-/** Longest time that a refused caller waits before it tries again, in milliseconds. */
-const longestPause = 2_000;
+/** Bounds of the time that a refused caller waits before it tries again, in milliseconds. */
+const firstPause = 250;
+
+const longestPause = 4_000;
 
 /** Milliseconds that a run goes on after the last arrival, so that all requests end. */
-const tail = 20_000;
+const tail = 60_000;
 
 /** Open-loop callers: requests arrive at random at a given rate, whatever happens to earlier ones. */
 export class Traffic {
@@ -58,26 +60,34 @@
     this.count += 1;
     const kind = this.pickKind();
     const request = { kind, work: this.drawWork(kind.work), arrived: 0, id: String(this.count) };
-    this.send(request, this.settings.callerRetries, undefined);
+    this.send(request, this.fleet.clock.elapsed(), 0);
   }
 
-  private send(
-    request: Omit<SimulatedRequest, 'arrived'>,
-    retries: number,
-    firstArrival: number | undefined,
-  ): void {
+  private send(request: Omit<SimulatedRequest, 'arrived'>, first: number, refusals: number): void {
     const { clock, random } = this.fleet;
-    const arrived = clock.elapsed();
     const entry = this.entries[Math.floor(random() * this.entries.length)];
-    entry?.send({ ...request, arrived }, (result) => {
-      const first = firstArrival ?? arrived;
-      if (result.type === 'refused' && retries > 0) {
-        const pause = Math.min(longestPause, result.retryAfter) * (1 + random());
-        clock.after(pause, () => this.send(request, retries - 1, first));
-      } else this.observations.push({ request: { ...request, arrived: first }, result });
+    entry?.send({ ...request, arrived: clock.elapsed() }, (result) => {
+      const now = clock.elapsed();
+      const pause = Traffic.pauseAfter(refusals, result.retryAfter) * (1 + random());
+      const isPatient = now + pause - first <= request.kind.patience;
+      if (result.type === 'refused' && isPatient) {
+        clock.after(pause, () => this.send(request, first, refusals + 1));
+      } else {
+        const whole = { ...result, latency: now - first };
+        this.observations.push({
+          request: { ...request, arrived: first },
+          result: whole,
+          refusals,
+        });
+      }
     });
   }
 
+  /** Callers double their pause with each refusal and heed `Retry-After`. */
+  private static pauseAfter(refusals: number, retryAfter: number): number {
+    return Math.min(longestPause, Math.max(retryAfter, firstPause * 2 ** refusals));
+  }
+
   private pickKind(): RequestKind {
     let point = this.fleet.random();
     const found = this.settings.kinds.find(({ share }) => {
