Judge and eject targets in the daemon, and tell operators their states

Outcomes of the home feed the ejection task; its transitions go into the member record at once, close the target for late entries, and are logged with their evidence. Homes exchange summaries and second opinions. Store calls are counted by kind.

--- /dev/null
+++ b/src/daemon/CountedStore.ts
@@ -0,0 +1,79 @@
+import type {
+  Store,
+  StoreCompare,
+  StoreEntry,
+  StoreRange,
+  StoreTransaction,
+  StoreWatch,
+  StoreWrite,
+} from '../api/index.js';
+
+/** Kinds of calls that the platform counts. */
+export type StoreCall = 'read' | 'write' | 'lease' | 'watch';
+
+/** Store that counts its calls and knows whether the last one was answered. */
+export class CountedStore implements Store {
+  private readonly counts: Record<StoreCall, number> = { read: 0, write: 0, lease: 0, watch: 0 };
+
+  private lastCall: 'answers' | 'away' | 'unknown' = 'unknown';
+
+  public constructor(private readonly store: Store) {}
+
+  /** Whether the store answered the last call. */
+  public get state(): 'answers' | 'away' | 'unknown' {
+    return this.lastCall;
+  }
+
+  /** Calls so far by kind. */
+  public get calls(): Readonly<Record<StoreCall, number>> {
+    return this.counts;
+  }
+
+  public get(key: string): Promise<StoreEntry | undefined> {
+    return this.count('read', this.store.get(key));
+  }
+
+  public range(range: StoreRange): Promise<readonly StoreEntry[]> {
+    return this.count('read', this.store.range(range));
+  }
+
+  public transact(
+    compares: readonly StoreCompare[],
+    writes: readonly StoreWrite[],
+  ): Promise<StoreTransaction> {
+    return this.count('write', this.store.transact(compares, writes));
+  }
+
+  public grantLease(duration: number): Promise<string> {
+    return this.count('lease', this.store.grantLease(duration));
+  }
+
+  public keepAlive(lease: string): Promise<void> {
+    return this.count('lease', this.store.keepAlive(lease));
+  }
+
+  public revokeLease(lease: string): Promise<void> {
+    return this.count('lease', this.store.revokeLease(lease));
+  }
+
+  public watch(prefix: string): StoreWatch {
+    this.counts.watch += 1;
+    return this.store.watch(prefix);
+  }
+
+  public dispose(): void {
+    this.store.dispose();
+  }
+
+  private async count<Result>(kind: StoreCall, call: Promise<Result>): Promise<Result> {
+    this.counts[kind] += 1;
+    try {
+      const result = await call;
+      this.lastCall = 'answers';
+      return result;
+    } catch (error) {
+      this.lastCall = 'away';
+      throw error;
+    }
+  }
+}
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -12,7 +12,6 @@
   type RandomSource,
   storeAdapters,
   type RequestId,
-  type Store,
   type TargetAnnouncement,
 } from '../api/index.js';
 import { RetryBudget } from '../common/retry/RetryBudget.js';
@@ -21,7 +20,10 @@
 import { Selector } from '../common/selection/Selector.js';
 import { AdminServer } from './AdminServer.js';
 import { ConfigurationDistribution } from './ConfigurationDistribution.js';
+import { CountedStore } from './CountedStore.js';
 import { DecisionLog } from './DecisionLog.js';
+import { Ejection } from './Ejection.js';
+import { FleetReport } from './FleetReport.js';
 import { Forwarder } from './Forwarder.js';
 import { GrpcPeerLink } from './GrpcPeerLink.js';
 import { HttpFront } from './HttpFront.js';
@@ -29,6 +31,7 @@
 import { Membership } from './Membership.js';
 import { OperationFront } from './OperationFront.js';
 import { Operations } from './Operations.js';
+import { addOperatorHandlers } from './operatorHandlers.js';
 import { PeerConnections } from './PeerConnections.js';
 import { PeerServer } from './PeerServer.js';
 import { RemoteHome } from './RemoteHome.js';
@@ -66,9 +69,9 @@
 
   private readonly log: DecisionLog;
 
-  private readonly metrics = new RequestMetrics();
+  private readonly metrics = new RequestMetrics(() => this.store.calls);
 
-  private readonly store: Store;
+  private readonly store: CountedStore;
 
   private readonly configuration: ConfigurationDistribution;
 
@@ -84,6 +87,8 @@
 
   private readonly forwarder: Forwarder;
 
+  private readonly ejection: Ejection;
+
   private readonly operations: Operations;
 
   private readonly operationFront: OperationFront;
@@ -106,12 +111,14 @@
       address: settings.peer,
     };
     this.log = new DecisionLog(sink, settings.routeSample, random, () => clock.now());
-    const store = storeAdapters.get(settings.storeAdapter).createStore(settings.store, settings.id);
-    this.store = this.disposables.add(store);
+    const adapter = storeAdapters.get(settings.storeAdapter);
+    this.store = this.disposables.add(
+      new CountedStore(adapter.createStore(settings.store, settings.id)),
+    );
     this.connections = this.disposables.add(new PeerConnections());
     this.configuration = this.disposables.add(
       new ConfigurationDistribution({
-        store,
+        store: this.store,
         connections: this.connections,
         clock,
         random,
@@ -123,6 +130,7 @@
     );
     this.membership = this.disposables.add(this.createMembership());
     this.forwarder = this.createForwarder();
+    this.ejection = this.disposables.add(this.createEjection());
     this.operations = this.disposables.add(this.createOperations());
     this.operationFront = new OperationFront(this.operations, clock, (request, signal) =>
       this.forwarder.forward(request, signal),
@@ -130,6 +138,7 @@
     this.peerServer = this.disposables.add(
       new PeerServer(this.home, {
         ...this.operations.handlers(),
+        ...this.ejection.handlers(),
         ...this.membership.handlers(),
         ...this.configuration.handlers(),
       }),
@@ -215,6 +224,22 @@
     });
   }
 
+  private createEjection(): Ejection {
+    const { clock, random } = this.environment;
+    const { identity, store, log, home, membership, configuration, connections } = this;
+    return new Ejection({
+      identity,
+      clock,
+      random,
+      store,
+      log,
+      home,
+      membership,
+      configuration,
+      connections,
+    });
+  }
+
   private createOperations(): Operations {
     const { clock, random } = this.environment;
     const { identity, store, log, membership, connections, forwarder } = this;
@@ -264,6 +289,17 @@
 
   private addAdminHandlers(): void {
     this.admin.on('PUT', announcePath, (request, response) => this.announce(request, response));
+    addOperatorHandlers(
+      this.admin,
+      new FleetReport({
+        identity: this.identity,
+        membership: this.membership,
+        configuration: this.configuration,
+        storeState: () => this.store.state,
+        explain: ({ id }) => this.ejection.explain(id),
+        restore: (target) => this.ejection.restore(target),
+      }),
+    );
     this.admin.on('GET', '/metrics', async (_request, response) => {
       const text = await this.metrics.text();
       response.writeHead(200, { 'content-type': this.metrics.registry.contentType });
@@ -276,12 +312,17 @@
 
   private async announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const announcement = (await json(request)) as TargetAnnouncement;
+    if (!this.ejection.isWelcome(announcement.id)) {
+      sendText(response, 409, 'announce to another home: this one does not reach the target');
+      return;
+    }
     const taken = this.membership.announcements.announce(announcement);
     if (isLeft(taken)) {
       sendText(response, 409, taken.left);
       return;
     }
     this.home.announce(announcement);
+    this.ejection.announce(announcement);
     sendJson(response, 200, {});
   }
 }
--- /dev/null
+++ b/src/daemon/Ejection.ts
@@ -0,0 +1,268 @@
+import {
+  brandAs,
+  DisposableStore,
+  pickSome,
+  type Clock,
+  type Configuration,
+  type DaemonId,
+  type Disposable,
+  type LogSink,
+  type RandomSource,
+  type ServiceName,
+  type Store,
+  type TargetAnnouncement,
+  type TargetId,
+  type TargetState,
+} from '../api/index.js';
+import { EjectionTask } from '../common/ejection/EjectionTask.js';
+import { SecondOpinion } from '../common/ejection/SecondOpinion.js';
+import type { EjectionEnvironment, Refusal, Transition } from '../common/ejection/Types.js';
+import type { Flight, TargetSummary } from '../common/health/index.js';
+import type { ConfigurationDistribution } from './ConfigurationDistribution.js';
+import type { PeerHandlers } from './generated/limpettrack/Peer.js';
+import type { ProbeResult__Output as ProbeOutput } from './generated/limpettrack/ProbeResult.js';
+import type { SummaryResponse__Output as SummaryOutput } from './generated/limpettrack/SummaryResponse.js';
+import type { LocalHome } from './LocalHome.js';
+import type { Membership } from './Membership.js';
+import type { PeerConnections } from './PeerConnections.js';
+import { createUnaryHandler } from './PeerServer.js';
+import { probeTarget } from './probeTarget.js';
+import type { ForwardRequest, Identity } from './Types.js';
+import { callUnary } from './unary.js';
+
+const summaryTimeout = 800;
+const remoteProbeTimeout = 1_500;
+const sampleSize = 4;
+/** Milliseconds for which a target that must move is refused here. */
+const reassignPeriod = 5_000;
+
+const urgentStates: ReadonlySet<TargetState> = new Set(['ejected', 'held', 'draining']);
+
+/** What ejection at a home depends on. */
+export interface EjectionSettings {
+  readonly identity: Identity;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly store: Store;
+  readonly log: LogSink;
+  readonly home: LocalHome;
+  readonly membership: Membership;
+  readonly configuration: ConfigurationDistribution;
+  readonly connections: PeerConnections;
+}
+
+/** Judges the targets of this home and publishes their states. */
+export class Ejection implements Disposable {
+  private readonly disposables = new DisposableStore();
+
+  private readonly task: EjectionTask;
+
+  private readonly opinion: SecondOpinion;
+
+  private readonly flights = new WeakMap<ForwardRequest, Flight>();
+
+  private readonly reasons = new Map<TargetId, string>();
+
+  private readonly reassigned = new Map<TargetId, number>();
+
+  public constructor(private readonly settings: EjectionSettings) {
+    const { identity, clock, random, store } = settings;
+    this.opinion = new SecondOpinion({
+      others: () => this.otherDaemons(),
+      probeFrom: (daemon, address) => this.probeFrom(daemon, address),
+      probeHere: async (address) => ({
+        isReachable: (await probeTarget(address)).kind !== 'unreachable',
+      }),
+      random,
+    });
+    this.task = this.disposables.add(
+      new EjectionTask({
+        home: identity.id,
+        clock,
+        random,
+        store,
+        environment: this.createEnvironment(),
+      }),
+    );
+    this.subscribe();
+  }
+
+  /** Whether a target may announce itself here; false while it must move to another home. */
+  public isWelcome(target: TargetId): boolean {
+    const until = this.reassigned.get(target);
+    if (until !== undefined && this.settings.clock.elapsed() < until) return false;
+    this.reassigned.delete(target);
+    return true;
+  }
+
+  /** Takes an announcement or its renewal. */
+  public announce(announcement: TargetAnnouncement): void {
+    this.task.announce(announcement);
+  }
+
+  /** Why a target of this home is in its state, in one line. */
+  public explain(target: TargetId): string | undefined {
+    return this.reasons.get(target);
+  }
+
+  /** An operator declares a target healthy; false if it is not here. */
+  public restore(target: string): boolean {
+    return this.task.restore(brandAs<TargetId>(target));
+  }
+
+  /** Handler with which other homes read the summaries of a service. */
+  public handlers(): Pick<PeerHandlers, 'Summaries'> {
+    return {
+      Summaries: createUnaryHandler(async ({ service }) => ({
+        summaries: this.task
+          .summaries(brandAs<ServiceName>(service))
+          .map((summary) => ({ ...summary, routes: [...summary.routes] })),
+      })),
+    };
+  }
+
+  public dispose(): void {
+    this.disposables.dispose();
+  }
+
+  private subscribe(): void {
+    const { home, membership, configuration } = this.settings;
+    this.disposables.add(
+      home.onStart((request) => {
+        const flight = this.task.begin(request.target, request.context.route);
+        if (flight !== undefined) this.flights.set(request, flight);
+      }),
+    );
+    this.disposables.add(
+      home.onOutcome(({ target, request, outcome }) =>
+        this.task.record(target, outcome, this.flights.get(request)),
+      ),
+    );
+    this.disposables.add(membership.announcements.onGone(({ id }) => this.task.depart(id)));
+    this.disposables.add(configuration.onChange(({ after }) => this.applyHolds(after)));
+    this.disposables.add(this.task.onTransition((transition) => this.publish(transition)));
+    this.disposables.add(this.task.onRefusal((refusal) => this.logRefusal(refusal)));
+    this.disposables.add(
+      this.task.onReassign((target) => {
+        this.reassigned.set(target, this.settings.clock.elapsed() + reassignPeriod);
+      }),
+    );
+  }
+
+  private applyHolds({ holds }: Configuration): void {
+    this.task.setOperatorHolds(
+      new Map(holds.map(({ target, action }) => [brandAs<TargetId>(target), action])),
+    );
+  }
+
+  private publish(transition: Transition): void {
+    const { target, service, from, to, cause, share, reason } = transition;
+    const { log, home, membership } = this.settings;
+    if (to !== 'gone') membership.announcements.assign(target, { status: to, share });
+    home.setClosed(target, urgentStates.has(to));
+    const isUrgent = urgentStates.has(to) || urgentStates.has(from);
+    if (isUrgent) membership.announceNow();
+    const why =
+      reason === undefined || reason.cause === 'none' ? cause : `${cause}: ${reason.cause}`;
+    this.reasons.set(target, why);
+    log.write({
+      level: to === 'active' ? 'info' : 'warn',
+      kind: 'ejection',
+      message: `${from} to ${to}`,
+      fields: {
+        step: 'home.ejection',
+        target,
+        service,
+        cause,
+        share,
+        evidence: reason?.cause,
+        score: reason?.score,
+        errorRate: reason?.errorRate,
+        slowShare: reason?.slowShare,
+        samples: reason?.samples,
+        peers: reason?.peers,
+      },
+    });
+  }
+
+  private logRefusal({ target, service, refusal, capacity, floor }: Refusal): void {
+    this.settings.log.write({
+      level: 'warn',
+      kind: 'ejection',
+      message: 'a sick target stays in service',
+      fields: { step: 'home.ejection', target, service, reason: refusal, capacity, floor },
+    });
+  }
+
+  private createEnvironment(): EjectionEnvironment {
+    const { configuration, random } = this.settings;
+    return {
+      sampleSummaries: (service) =>
+        this.collectSummaries(service, pickSome(random, this.homesOf(service), sampleSize)),
+      allSummaries: (service) => this.collectSummaries(service, this.homesOf(service)),
+      probe: (_target, address) => probeTarget(address),
+      secondOpinion: (_target, address) => this.opinion.ask(address),
+      floor: (service) => configuration.limitsOf(service).floor,
+      isPaused: (service) => configuration.isPaused('ejection', service),
+    };
+  }
+
+  private homesOf(service: ServiceName): DaemonId[] {
+    const { membership, identity } = this.settings;
+    const homes = membership.targets.all(service).map(({ home }) => home);
+    return [...new Set(homes)].filter((home) => home !== identity.id);
+  }
+
+  private otherDaemons(): DaemonId[] {
+    const { membership, identity } = this.settings;
+    const live = membership.table.live().map(({ id }) => id);
+    return live.filter((id) => id !== identity.id);
+  }
+
+  private async collectSummaries(
+    service: ServiceName,
+    homes: readonly DaemonId[],
+  ): Promise<readonly TargetSummary[]> {
+    const answers = homes.map((home) => this.summariesOf(home, service).catch(() => []));
+    return (await Promise.all(answers)).flat();
+  }
+
+  private async summariesOf(home: DaemonId, service: ServiceName): Promise<TargetSummary[]> {
+    const peer = this.settings.membership.addressOf(home) ?? '';
+    const client = this.settings.connections.get(peer);
+    const origin = { step: 'ejection.summaries', peer };
+    const { summaries } = await callUnary<SummaryOutput>(
+      origin,
+      summaryTimeout,
+      (options, done) => {
+        client.summaries({ service }, options, done);
+      },
+    );
+    return summaries.map((summary) => ({
+      ...summary,
+      target: brandAs<TargetId>(summary.target),
+      status: summary.status as TargetState,
+    }));
+  }
+
+  private async probeFrom(
+    daemon: DaemonId,
+    targetAddress: string,
+  ): Promise<{ isReachable: boolean } | undefined> {
+    const peer = this.settings.membership.addressOf(daemon) ?? '';
+    const client = this.settings.connections.get(peer);
+    const origin = { step: 'ejection.opinion', peer };
+    try {
+      const { reachable } = await callUnary<ProbeOutput>(
+        origin,
+        remoteProbeTimeout,
+        (options, done) => {
+          client.probe({ targetAddress }, options, done);
+        },
+      );
+      return { isReachable: reachable };
+    } catch {
+      return undefined;
+    }
+  }
+}
--- a/src/daemon/LocalHome.ts
+++ b/src/daemon/LocalHome.ts
@@ -47,6 +47,8 @@
 export class LocalHome implements Home, Disposable {
   private readonly targets = new Map<TargetId, HostedTarget>();
 
+  private readonly closed = new Set<TargetId>();
+
   private readonly outcomeEmitter = new Emitter<OutcomeEvent>();
 
   private readonly startEmitter = new Emitter<ForwardRequest>();
@@ -92,10 +94,17 @@
     });
   }
 
+  /** Closes a target that is ejected, held or draining, for entries that do not know it yet, or opens it again. */
+  public setClosed(id: TargetId, isClosed: boolean): void {
+    if (isClosed) this.closed.add(id);
+    else this.closed.delete(id);
+  }
+
   /** Removes a target that has left; its waiting requests are refused as not run. */
   public remove(id: TargetId): void {
     this.targets.get(id)?.dispose();
     this.targets.delete(id);
+    this.closed.delete(id);
   }
 
   /** Present load of a target; undefined if it is not hosted here. */
@@ -133,6 +142,10 @@
       const peer = request.target;
       throw new NotRunError('not-home', 'the target is not here', { step: 'home.find', peer });
     }
+    if (this.closed.has(request.target)) {
+      const peer = request.target;
+      throw new NotRunError('draining', 'the target takes no work', { step: 'home.find', peer });
+    }
     return target;
   }
 
--- a/src/daemon/Membership.ts
+++ b/src/daemon/Membership.ts
@@ -19,6 +19,7 @@
 import type { PeerHandlers } from './generated/limpettrack/Peer.js';
 import { decodeUpdate, encodeUpdate } from './MembershipMessages.js';
 import { createUnaryHandler } from './PeerServer.js';
+import { probeTarget } from './probeTarget.js';
 import type { Directory, Identity } from './Types.js';
 
 /** Milliseconds between two looks at the targets that have not moved yet. */
@@ -109,6 +110,11 @@
     }
   }
 
+  /** Tells some peers at once of a change that must not wait for the next exchange. */
+  public announceNow(): void {
+    this.gossip.announceNow();
+  }
+
   /** Tells the peers that this daemon takes no new work. */
   public leave(): void {
     this.table.updateSelf({ status: 'leaving' });
@@ -135,7 +141,9 @@
       Exchange: createUnaryHandler(async (update) =>
         encodeUpdate(this.gossip.handle(decodeUpdate(update))),
       ),
-      Probe: createUnaryHandler(async ({ member }) => this.probe(member)),
+      Probe: createUnaryHandler(async ({ member, targetAddress }) =>
+        targetAddress === '' ? this.probe(member) : Membership.probeTarget(targetAddress),
+      ),
     };
   }
 
@@ -143,6 +151,11 @@
     this.disposables.dispose();
   }
 
+  private static async probeTarget(address: string): Promise<{ reachable: boolean }> {
+    const { kind } = await probeTarget(address);
+    return { reachable: kind !== 'unreachable' };
+  }
+
   private async probe(member: string): Promise<{ reachable: boolean }> {
     if (member === '' || member === this.settings.identity.id) return { reachable: true };
     const address = this.addressOf(brandAs<DaemonId>(member));
--- a/src/daemon/RequestMetrics.ts
+++ b/src/daemon/RequestMetrics.ts
@@ -44,6 +44,16 @@
     registers: [this.registry],
   });
 
+  private readonly storeCalls = new Gauge({
+    name: 'limpettrack_store_calls',
+    help: 'Calls to the store since the start by kind',
+    labelNames: ['kind'],
+    registers: [this.registry],
+  });
+
+  /** `countStoreCalls` gives the calls to the store so far by kind. */
+  public constructor(private readonly countStoreCalls: () => Readonly<Record<string, number>>) {}
+
   /** All metrics in the Prometheus text format. */
   public async text(): Promise<string> {
     this.histograms.forEach((histogram, key) => {
@@ -53,6 +63,9 @@
         this.durations.set({ service, class: workClass, quantile: String(quantile) }, value);
       });
     });
+    Object.entries(this.countStoreCalls()).forEach(([kind, value]) => {
+      this.storeCalls.set({ kind }, value);
+    });
     return this.registry.metrics();
   }
 
