Serve status and targets at the admin endpoint

Cause: the operators' commands status, target list, preset status and why need the view of a daemon. Change: FleetReport gives the members, the services with slots in service and floor, and each target with its state and the reason for it. Conclusion: the paths answer; the restore of an ejected target waits for the ejection task in the daemon.

--- a/src/cli/commands/StatusCommand.ts
+++ b/src/cli/commands/StatusCommand.ts
@@ -34,7 +34,7 @@
       service.slotsInService < service.floor ? 'BELOW FLOOR' : 'ok',
     ]);
     this.write(status, [
-      `asked ${status.daemon} (${status.dataCentre}): preset ${status.preset || '(none)'}, revision ${status.revision}, store ${status.store}`,
+      `asked ${status.daemon} (${status.dataCentre}): preset ${status.preset || '(none)'}, revision ${status.revision}`,
       ...formatTable(['daemon', 'state', 'data centre', 'revision', 'admin'], members),
       '',
       ...formatTable(['service', 'targets', 'slots in service', 'floor', 'verdict'], services),
--- a/src/cli/commands/TargetHoldCommand.ts
+++ b/src/cli/commands/TargetHoldCommand.ts
@@ -1,10 +1,10 @@
 import { Command, Option } from 'clipanion';
 import type { HoldDocument } from '../../common/configuration/Types.js';
+import { slotsInService } from '../../common/services/slotsInService.js';
 import { ChangeCommand } from '../ChangeCommand.js';
 import { holdTarget } from '../edits.js';
 import { exitCodes } from '../exitCodes.js';
 import type { ExitCode } from '../exitCodes.js';
-import { slotsWithout } from '../slotsWithout.js';
 
 /** Takes a target out of service until it is restored. */
 export class TargetHoldCommand extends ChangeCommand {
@@ -54,7 +54,8 @@
     if (found === undefined)
       return `the daemon knows no target ${this.id}; --below-floor skips this`;
     const floor = services.find(({ service }) => service === found.service)?.floor ?? 0;
-    const left = slotsWithout(targets, found);
+    const others = targets.filter(({ id, service }) => service === found.service && id !== this.id);
+    const left = slotsInService(others);
     if (left >= floor) return undefined;
     return `service ${found.service} would have ${left} slots in service, its floor is ${floor}; --below-floor accepts that`;
   }
--- a/src/common/services/AdminTypes.ts
+++ b/src/common/services/AdminTypes.ts
@@ -35,8 +35,6 @@
   readonly revision: number;
   /** Preset in force; empty if there is none. */
   readonly preset: string;
-  /** Whether the store answered the last call of this daemon. */
-  readonly store: 'answers' | 'away' | 'unknown';
   readonly members: readonly MemberReport[];
   readonly services: readonly ServiceReport[];
 }
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -22,11 +22,13 @@
 import { AdminServer } from './AdminServer.js';
 import { ConfigurationDistribution } from './ConfigurationDistribution.js';
 import { DecisionLog } from './DecisionLog.js';
+import { FleetReport } from './FleetReport.js';
 import { Forwarder, type RoutedRequest } from './Forwarder.js';
 import { GrpcPeerLink } from './GrpcPeerLink.js';
 import { HttpFront } from './HttpFront.js';
 import { LocalHome } from './LocalHome.js';
 import { Membership } from './Membership.js';
+import { addOperatorHandlers } from './operatorHandlers.js';
 import { PeerConnections } from './PeerConnections.js';
 import { PeerServer } from './PeerServer.js';
 import { RemoteHome } from './RemoteHome.js';
@@ -246,6 +248,22 @@
     this.admin.on('GET', '/why', async (_request, response, url) => {
       sendJson(response, 200, this.log.find(url.searchParams.get('id') ?? ''));
     });
+    addOperatorHandlers(this.admin, this.createFleetReport());
+  }
+
+  private createFleetReport(): FleetReport {
+    const { identity, membership, configuration, log } = this;
+    return new FleetReport({
+      identity,
+      members: () => membership.table.all(),
+      services: () => membership.targets.services(),
+      targetsOf: (service) => membership.targets.all(service),
+      configuration: () => configuration.current,
+      limitsOf: (service) => configuration.limitsOf(service),
+      findLines: (id) => log.find(id),
+      // Nothing is ejected before the ejection task runs in the daemon.
+      restore: () => false,
+    });
   }
 
   private async announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- /dev/null
+++ b/src/daemon/FleetReport.ts
@@ -0,0 +1,121 @@
+import type {
+  Configuration,
+  LogLine,
+  ServiceLimits,
+  ServiceName,
+  TargetEntry,
+  TargetId,
+} from '../api/index.js';
+import { stateCatalogue } from '../common/ejection/StateCatalogue.js';
+import type { MemberRecord } from '../common/membership/Types.js';
+import type {
+  MemberReport,
+  ServiceReport,
+  StatusReport,
+  TargetReport,
+} from '../common/services/AdminTypes.js';
+import { slotsInService } from '../common/services/slotsInService.js';
+import type { OperatorSource } from './operatorHandlers.js';
+import type { Identity } from './Types.js';
+
+/** What the report is made from. */
+export interface FleetReportSettings {
+  readonly identity: Identity;
+  /** Records of all known members, with this daemon's own. */
+  readonly members: () => readonly MemberRecord[];
+  readonly services: () => readonly ServiceName[];
+  readonly targetsOf: (service: ServiceName) => readonly TargetEntry[];
+  readonly configuration: () => Configuration | undefined;
+  readonly limitsOf: (service: ServiceName) => ServiceLimits;
+  /** Remembered log lines that name an id, oldest first. */
+  readonly findLines: (id: string) => readonly LogLine[];
+  /** Puts an ejected or suspected target of this home back; false if this daemon is not its home. */
+  readonly restore: (target: TargetId) => boolean;
+}
+
+function toMember({ id, status, location, adminAddress, revision }: MemberRecord): MemberReport {
+  const { dataCentre } = location;
+  return { daemon: id, status, dataCentre, admin: adminAddress, revision };
+}
+
+/** The fleet as this daemon sees it, for operators. */
+export class FleetReport implements OperatorSource {
+  public constructor(private readonly settings: FleetReportSettings) {}
+
+  public status(): StatusReport {
+    const { identity, members, configuration } = this.settings;
+    const current = configuration();
+    const targets = this.targets();
+    return {
+      daemon: identity.id,
+      incarnation: identity.incarnation,
+      region: identity.location.region,
+      dataCentre: identity.location.dataCentre,
+      revision: current?.revision ?? 0,
+      preset: current?.preset ?? '',
+      members: members().map(toMember),
+      services: this.serviceNames().map((service) => this.toService(service, targets)),
+    };
+  }
+
+  public targets(): readonly TargetReport[] {
+    const { services, targetsOf } = this.settings;
+    return services().flatMap((service) =>
+      targetsOf(service).map((target) => this.toTarget(target)),
+    );
+  }
+
+  public restore(target: string): boolean {
+    return this.settings.restore(target as TargetId);
+  }
+
+  /** Configured services and those of the targets. */
+  private serviceNames(): readonly ServiceName[] {
+    const { services, configuration } = this.settings;
+    const configured = configuration()?.services.map(({ name }) => name) ?? [];
+    return [...new Set([...configured, ...services()])].sort();
+  }
+
+  private toService(service: ServiceName, all: readonly TargetReport[]): ServiceReport {
+    const targets = all.filter((target) => target.service === service);
+    return {
+      service,
+      targets: targets.length,
+      slots: targets.reduce((sum, { slots }) => sum + slots, 0),
+      slotsInService: slotsInService(targets),
+      floor: this.settings.limitsOf(service).floor,
+    };
+  }
+
+  private toTarget(target: TargetEntry): TargetReport {
+    const { id, service, home, location, address, slots, status, share } = target;
+    return {
+      id,
+      service,
+      home,
+      dataCentre: location.dataCentre,
+      address,
+      slots,
+      state: status,
+      share,
+      why: this.explain(target),
+    };
+  }
+
+  /** An operator's hold, else the last decision that this daemon remembers, else the meaning of the state. */
+  private explain({ id, status }: TargetEntry): string {
+    const holds = this.settings.configuration()?.holds ?? [];
+    const hold = holds.find(({ target }) => target === id);
+    if (hold !== undefined) return `${hold.action} by ${hold.author}`;
+    const last = this.settings
+      .findLines(id)
+      .findLast(({ kind, fields }) => kind === 'ejection' && fields.to === status);
+    if (last !== undefined) return FleetReport.describe(last);
+    return stateCatalogue.find(({ state }) => state === status)?.meaning ?? '';
+  }
+
+  private static describe({ message, fields }: LogLine): string {
+    const parts = [fields.cause, fields.reason].filter((part) => part !== undefined);
+    return [message, parts.join(', ')].join(': ');
+  }
+}
