Measure keyed operations against their rate

Bench scenario `operations`: store writes, added wait, bytes of a segment, an outage of the store, memory of an operation, reads of a takeover, with one store write for each operation as the baseline.

Each caller now keeps its key.

--- a/src/bench/operations/SimulatedFleet.ts
+++ b/src/bench/operations/SimulatedFleet.ts
@@ -171,11 +171,13 @@
 
   private async chooseKey(): Promise<OperationKey> {
     const { random } = this.options;
+    // Two callers never share a key, or their statement that it is new would be false.
+    const own = brandAs<OperationKey>(`key-${this.keys}`);
     const issuer = this.pick();
-    if (random() < 0.6 || issuer.isEnded) return brandAs<OperationKey>(`key-${this.keys}`);
+    if (random() < 0.6 || issuer.isEnded) return own;
     const issued = new Promise<OperationKey>((resolve) => {
       issuer.clock.after(0, () => resolve(issuer.issue()));
-      this.clock.after(callerTimeout, () => resolve(brandAs<OperationKey>(`key-${this.keys}`)));
+      this.clock.after(callerTimeout, () => resolve(own));
     });
     return issued;
   }
--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -1,5 +1,6 @@
 import { headOfLine } from './scenarios/headOfLine.js';
+import { operations } from './scenarios/operations.js';
 import type { Scenario } from './Types.js';
 
 /** All scenarios, in the order of the report. */
-export const scenarios: readonly Scenario[] = [headOfLine];
+export const scenarios: readonly Scenario[] = [headOfLine, operations];
