--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -1,6 +1,7 @@
+import { crest } from './scenarios/crest.js';
 import { headOfLine } from './scenarios/headOfLine.js';
 import { operations } from './scenarios/operations.js';
 import type { Scenario } from './Types.js';
 
 /** All scenarios, in the order of the report. */
-export const scenarios: readonly Scenario[] = [headOfLine, operations];
+export const scenarios: readonly Scenario[] = [headOfLine, crest, operations];
