--- a/src/bench/admission/Traffic.ts
+++ b/src/bench/admission/Traffic.ts
@@ -1,3 +1,4 @@
+import type { RandomSource } from '../../api/index.js';
 import type { Fleet } from './Fleet.js';
 import type {
   Observation,
@@ -23,6 +24,13 @@
 /** Milliseconds that a run goes on after the last arrival, so that all requests end. */
 const tail = 60_000;
 
+/** Log-normal service time with the given mean in milliseconds; a few requests are stragglers. */
+export function drawWork(mean: number, random: RandomSource): number {
+  const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+  const factor = random() < stragglerShare ? stragglerFactor : 1;
+  return mean * factor * Math.exp(spread * normal - (spread * spread) / 2);
+}
+
 /** Open-loop callers: requests arrive at random at a given rate, whatever happens to earlier ones. */
 export class Traffic {
   public readonly observations: Observation[] = [];
@@ -38,8 +46,7 @@
   /** Runs to the end on the virtual clock. */
   public run(): readonly Observation[] {
     const { clock } = this.fleet;
-    const targets = this.fleet.targets.map(({ target }) => target);
-    this.settings.onTime?.forEach(({ at, action }) => clock.after(at, () => action(targets)));
+    this.settings.onTime?.forEach(({ at, action }) => clock.after(at, () => action(this.fleet)));
     this.scheduleNext();
     clock.advance(this.settings.duration + tail);
     return this.observations;
@@ -59,7 +66,12 @@
   private sendNew(): void {
     this.count += 1;
     const kind = this.pickKind();
-    const request = { kind, work: this.drawWork(kind.work), arrived: 0, id: String(this.count) };
+    const request = {
+      kind,
+      work: drawWork(kind.work, this.fleet.random),
+      arrived: 0,
+      id: String(this.count),
+    };
     this.send(request, this.fleet.clock.elapsed(), 0);
   }
 
@@ -96,12 +108,4 @@
     });
     return (found ?? this.settings.kinds[0]) as RequestKind;
   }
-
-  /** Log-normal service time with the given mean; a few requests are stragglers. */
-  private drawWork(mean: number): number {
-    const { random } = this.fleet;
-    const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
-    const factor = random() < stragglerShare ? stragglerFactor : 1;
-    return mean * factor * Math.exp(spread * normal - (spread * spread) / 2);
-  }
 }
--- a/src/bench/admission/Types.ts
+++ b/src/bench/admission/Types.ts
@@ -1,5 +1,6 @@
 /** Interfaces of the simulated fleet for selection, admission and retries. */
 import type { WorkClass } from '../../api/index.js';
+import type { Fleet } from './Fleet.js';
 
 /** Kind of request that callers send. */
 export interface RequestKind {
@@ -64,14 +65,6 @@
   readonly rateAt: (time: number) => number;
   /** Milliseconds. */
   readonly duration: number;
-  /** Events during the run, such as faults. */
-  readonly onTime?: readonly {
-    readonly at: number;
-    readonly action: (fleet: FaultTarget[]) => void;
-  }[];
-}
-
-/** The part of a fake target that a scenario changes. */
-export interface FaultTarget {
-  fault: import('../FakeTarget.js').Fault;
+  /** Events during the run, such as faults, at times in milliseconds. */
+  readonly onTime?: readonly { readonly at: number; readonly action: (fleet: Fleet) => void }[];
 }
--- a/src/bench/admission/policies.ts
+++ b/src/bench/admission/policies.ts
@@ -1,8 +1,10 @@
+import { HedgePolicy } from '../../common/retry/HedgePolicy.js';
 import { RetryBudget } from '../../common/retry/RetryBudget.js';
 import type { RetryAllowance } from '../../common/retry/Types.js';
 import { BaselineEntry, createLeastOutstanding, createRoundRobin } from './BaselineEntry.js';
 import { Fleet } from './Fleet.js';
 import { FleetEntry } from './FleetEntry.js';
+import { HedgedEntry } from './HedgedEntry.js';
 import { Traffic } from './Traffic.js';
 import type { Observation, RunSettings, SimulatedEntry } from './Types.js';
 
@@ -36,6 +38,17 @@
   },
 };
 
+/** As limpettrack, with a second copy of slow requests out of the same budget. */
+export const hedged: Policy = {
+  name: 'limpettrack with hedging',
+  create: (fleet, index) => {
+    const budget = new RetryBudget(() => 0.1, fleet.clock);
+    const inner = new FleetEntry(fleet, index, budget);
+    const policy = new HedgePolicy({ isEnabled: () => true, isLong: () => false });
+    return new HedgedEntry(fleet, inner, policy, budget);
+  },
+};
+
 /** Round robin over the targets. */
 export const roundRobin: Policy = {
   name: 'round robin',
--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -1,6 +1,8 @@
 import { crest } from './scenarios/crest.js';
 import { headOfLine } from './scenarios/headOfLine.js';
+import { hedging } from './scenarios/hedging.js';
+import { retries } from './scenarios/retries.js';
 import type { Scenario } from './Types.js';
 
 /** All scenarios, in the order of the report. */
-export const scenarios: readonly Scenario[] = [headOfLine, crest];
+export const scenarios: readonly Scenario[] = [headOfLine, crest, retries, hedging];
--- /dev/null
+++ b/src/bench/scenarios/hedging.ts
@@ -0,0 +1,93 @@
+import type { Fleet } from '../admission/Fleet.js';
+import { hedged, limpettrack, runPolicy, type Policy, type Run } from '../admission/policies.js';
+import type { FleetSize, RequestKind, RunSettings } from '../admission/Types.js';
+import { healthy } from '../FakeTarget.js';
+import { quantile, summarise } from '../Statistics.js';
+import type { Row, Scenario } from '../Types.js';
+
+const size: FleetSize = { entries: 8, targets: 8, slots: 5, maxQueue: 100 };
+
+const kind: RequestKind = {
+  route: 'listing',
+  workClass: 'interactive',
+  share: 1,
+  work: 20,
+  timeout: 1_000,
+  isIdempotent: true,
+  patience: 0,
+};
+
+/** Requests a second that the slots can run. */
+const capacity = (size.targets * size.slots * 1_000) / kind.work;
+
+const duration = 40_000;
+
+/** Milliseconds until quantiles are learned. */
+const warmUp = 10_000;
+
+interface Situation {
+  readonly name: string;
+  readonly use: number;
+  readonly action: (fleet: Fleet) => void;
+}
+
+const situations: readonly Situation[] = [
+  { name: 'stragglers, 60% of the slots in use', use: 0.6, action: () => {} },
+  { name: 'stragglers, 95% of the slots in use', use: 0.95, action: () => {} },
+  {
+    name: 'one target ten times slower, 60% of the slots in use',
+    use: 0.6,
+    action: (fleet) => {
+      const [first] = fleet.targets;
+      if (first !== undefined) first.target.fault = { ...healthy, slowness: 10 };
+    },
+  },
+];
+
+function run({ use, action }: Situation, policy: Policy, seed: number): Run {
+  const settings: RunSettings = {
+    size,
+    kinds: [kind],
+    rateAt: () => capacity * use,
+    duration,
+    onTime: [{ at: warmUp / 2, action }],
+  };
+  return runPolicy(policy, settings, seed);
+}
+
+/** Latencies in milliseconds; a request without an answer counts with its timeout. */
+function latencies({ observations }: Run): readonly number[] {
+  return observations
+    .filter(({ request }) => request.arrived >= warmUp)
+    .map(({ result }) => (result.type === 'answered' ? result.latency : kind.timeout));
+}
+
+function createRows(situation: Situation, seeds: readonly number[]): readonly Row[] {
+  const policies = [hedged, limpettrack];
+  const results = policies.map((policy) => ({
+    policy: policy.name,
+    runs: seeds.map((seed) => run(situation, policy, seed)),
+  }));
+  const createRow = (measure: string, unit: string, read: (each: Run) => number): Row => ({
+    measure: `${measure}, ${situation.name}`,
+    unit,
+    goal: '',
+    figures: results.map(({ policy, runs }) => summarise(policy, runs.map(read))),
+    seeds,
+  });
+  return [
+    createRow('p99', 'ms', (each) => quantile(latencies(each), 0.99)),
+    createRow('p99.9', 'ms', (each) => quantile(latencies(each), 0.999)),
+    createRow(
+      'attempts for each request',
+      'ratio',
+      ({ fleet, observations }) => fleet.attempts / observations.length,
+    ),
+  ];
+}
+
+/** Whether a second copy of slow idempotent requests pays. */
+export const hedging: Scenario = {
+  name: 'hedging',
+  run: async (seeds) => situations.flatMap((situation) => createRows(situation, seeds)),
+};
--- /dev/null
+++ b/src/bench/scenarios/retries.ts
@@ -0,0 +1,115 @@
+import type { Fleet } from '../admission/Fleet.js';
+import {
+  leastOutstanding,
+  limpettrack,
+  roundRobin,
+  runPolicy,
+  unlimitedRetries,
+  type Policy,
+} from '../admission/policies.js';
+import type { FleetSize, RequestKind, RunSettings } from '../admission/Types.js';
+import { healthy } from '../FakeTarget.js';
+import { summarise } from '../Statistics.js';
+import type { Row, Scenario } from '../Types.js';
+
+const goal = 0.1;
+
+const size: FleetSize = { entries: 8, targets: 8, slots: 5, maxQueue: 100 };
+
+const kind: RequestKind = {
+  route: 'listing',
+  workClass: 'interactive',
+  share: 1,
+  work: 20,
+  timeout: 1_000,
+  isIdempotent: true,
+  patience: 0,
+};
+
+/** Requests a second; 60% of what the slots can run. */
+const rate = 1_200;
+
+/** Milliseconds. */
+const outage = { from: 10_000, to: 40_000 } as const;
+
+interface Outcome {
+  /** Attempts beyond the first, divided by the requests. */
+  readonly added: number;
+  readonly answered: number;
+}
+
+function runOutage(policy: Policy, failing: number, seed: number): Outcome {
+  const marks: number[] = [];
+  const mark = ({ attempts }: Fleet): void => {
+    marks.push(attempts);
+  };
+  const fail = (fleet: Fleet): void => {
+    mark(fleet);
+    fleet.targets.slice(0, failing).forEach(({ target }) => {
+      target.fault = { ...healthy, failureShare: 1 };
+    });
+  };
+  const settings: RunSettings = {
+    size,
+    kinds: [kind],
+    rateAt: () => rate,
+    duration: outage.to,
+    onTime: [
+      { at: outage.from, action: fail },
+      { at: outage.to, action: mark },
+    ],
+  };
+  const { observations } = runPolicy(policy, settings, seed);
+  const during = observations.filter(({ request }) => request.arrived >= outage.from);
+  const answered = during.filter(({ result }) => result.type === 'answered').length;
+  const [before = 0, after = 0] = marks;
+  return { added: (after - before) / during.length - 1, answered: answered / during.length };
+}
+
+const policies = [limpettrack, unlimitedRetries, roundRobin, leastOutstanding];
+
+function createRows(name: string, failing: number, seeds: readonly number[]): readonly Row[] {
+  const outcomes = policies.map((policy) => ({
+    policy: policy.name,
+    runs: seeds.map((seed) => runOutage(policy, failing, seed)),
+  }));
+  const added = outcomes.map(({ policy, runs }) =>
+    summarise(
+      policy,
+      runs.map((run) => run.added),
+    ),
+  );
+  const answered = outcomes.map(({ policy, runs }) =>
+    summarise(
+      policy,
+      runs.map((run) => run.answered),
+    ),
+  );
+  return [
+    {
+      measure: `load that retries add while ${name} fail at once`,
+      unit: 'share',
+      goal: `at most ${goal}`,
+      isMet: (added[0]?.highest ?? Infinity) <= goal,
+      figures: added,
+      seeds,
+      notMeasured: 'ejection, which would take the failing targets out',
+    },
+    {
+      measure: `requests answered while ${name} fail`,
+      unit: 'share',
+      goal: '',
+      figures: answered,
+      seeds,
+    },
+  ];
+}
+
+/** Load that retries add in an outage. */
+export const retries: Scenario = {
+  name: 'retries',
+  run: async (seeds) => [
+    ...createRows('half of the targets', size.targets / 2, seeds),
+    ...createRows('all targets', size.targets, seeds),
+  ],
+};
