Rank targets by this entry's own failures

A target that fails at once answers fast and looks idle. Only the entry's own rank changes; nothing is ejected.

--- a/src/bench/admission/FleetEntry.ts
+++ b/src/bench/admission/FleetEntry.ts
@@ -69,6 +69,8 @@
     this.fleet.attempts += 1;
     this.run(chosen, context, request, (result) => {
       this.loads.ended(id, result.load, request.kind.route);
+      if (result.kind === 'success') this.loads.succeeded(id);
+      else if (result.kind !== 'refused' && result.kind !== 'timeout') this.loads.failed(id);
       this.conclude(request, new Set([...avoid, id]), result, done);
     });
   }
--- a/src/common/selection/LoadTable.ts
+++ b/src/common/selection/LoadTable.ts
@@ -1,5 +1,6 @@
 import type { Clock, TargetId } from '../base/index.js';
 import type { LoadPart, TargetEntry, TargetLoad } from '../services/Types.js';
+import { FailureMemory } from './FailureMemory.js';
 import type { LoadEstimate, LoadRecorder } from './Types.js';
 
 /** Service times after which half of the load that others caused is taken to be gone. */
@@ -24,6 +25,7 @@
 interface Row {
   readonly short: Part;
   readonly long: Part;
+  readonly failures: FailureMemory;
   reportedAt: number;
 }
 
@@ -42,6 +44,14 @@
     this.ensure(target)[this.kindOf(route)].outstanding += 1;
   }
 
+  public failed(target: TargetId): void {
+    this.ensure(target).failures.record(true, this.clock.elapsed());
+  }
+
+  public succeeded(target: TargetId): void {
+    this.ensure(target).failures.record(false, this.clock.elapsed());
+  }
+
   public ended(target: TargetId, load?: TargetLoad, route?: string): void {
     const row = this.ensure(target);
     const part = row[this.kindOf(route)];
@@ -64,7 +74,9 @@
     const longLimit = Math.max(1, target.slots - 1);
     const slots = kind === 'long' ? longLimit : Math.max(1, target.slots - long);
     const total = kind === 'long' ? long : LoadTable.count(part, age);
-    return { total, slots, serviceTime: part.serviceTime || initialServiceTime, age };
+    const serviceTime = part.serviceTime || initialServiceTime;
+    const failureShare = row.failures.at(this.clock.elapsed());
+    return { total, slots, serviceTime, age, failureShare };
   }
 
   /** Forgets targets that are no longer listed and have no request outstanding. */
@@ -98,7 +110,8 @@
 
   private static createRow(): Row {
     const createPart = (): Part => ({ outstanding: 0, others: 0, serviceTime: 0 });
-    return { short: createPart(), long: createPart(), reportedAt: -Infinity };
+    const failures = new FailureMemory();
+    return { short: createPart(), long: createPart(), failures, reportedAt: -Infinity };
   }
 
   private ensure(target: TargetId): Row {
--- a/src/common/selection/Selector.test.ts
+++ b/src/common/selection/Selector.test.ts
@@ -115,6 +115,13 @@
     expect(choose([near, region])).to.equal('region');
   });
 
+  it('leaves a target that fails at once, or it looks idle and draws most requests', () => {
+    const { choose, load, fill } = createBench();
+    fill(region, 4);
+    for (let index = 0; index < 3; index += 1) load.failed(near.id);
+    expect(choose([near, region])).to.equal('region');
+  });
+
   it('stops at the cross-region budget, or the billed link is flooded', () => {
     const { choose, clock } = createBench();
     const chosen = [1, 2, 3].map(() => choose([far]));
--- a/src/common/selection/Selector.ts
+++ b/src/common/selection/Selector.ts
@@ -22,6 +22,12 @@
 /** Bytes assumed of an answer whose size is not known. */
 const assumedBytes = 8_192;
 
+/**
+ * Milliseconds of wait that a target which always fails counts as. Without this a target that fails at once
+ * looks idle and draws most of the requests until it is a suspect.
+ */
+const failurePenalty = 500;
+
 /** A candidate with what the comparison needs. */
 interface Candidate {
   readonly target: TargetEntry;
@@ -105,7 +111,11 @@
       locality,
       hasFreeSlot: estimate.total < estimate.slots,
       wait,
-      rank: wait + this.roundTrip[locality] + this.settings.pathPenalty(target.home),
+      rank:
+        wait +
+        estimate.failureShare * failurePenalty +
+        this.roundTrip[locality] +
+        this.settings.pathPenalty(target.home),
     };
   }
 
--- a/src/common/selection/Types.ts
+++ b/src/common/selection/Types.ts
@@ -24,6 +24,8 @@
   readonly serviceTime: number;
   /** Milliseconds since the home last reported; Infinity if it never did. */
   readonly age: number;
+  /** Share of failures among this entry's last requests; fades while none is sent. */
+  readonly failureShare: number;
 }
 
 /** Gives the estimated load of a target. */
@@ -36,6 +38,10 @@
 export interface LoadRecorder extends LoadView {
   /** The entry sends a request to the target. */
   sent(target: TargetId, route?: string): void;
+  /** The request failed at the target. Call it in addition to `ended`; refusals and timeouts do not count. */
+  failed(target: TargetId): void;
+  /** The request succeeded at the target. Call it in addition to `ended`. */
+  succeeded(target: TargetId): void;
   /** The request ended; `load` is the report of the home, if one came. */
   ended(target: TargetId, load?: TargetLoad, route?: string): void;
 }
