--- a/src/common/operations/RangeOwnership.ts
+++ b/src/common/operations/RangeOwnership.ts
@@ -38,6 +38,7 @@
   readonly incarnation: Incarnation;
   /** All other known members. */
   readonly others: () => readonly AuthorityMember[];
+  /** Operations of all ranges together, and answers of each. */
   readonly limits: LedgerLimits;
   /** Milliseconds for which finished operations are remembered. */
   readonly retention: number;
@@ -157,8 +158,7 @@
   }
 
   private async takeOver(range: RangeNumber): Promise<void> {
-    const { hash, limits } = this.context;
-    const ledger = new OperationLedger(hash, limits);
+    const ledger = new OperationLedger(this.context.hash, this.createLimits());
     const log = this.createJournal(range, ledger);
     try {
       await log.takeOver((record, sequence) => ledger.replay(record, sequence));
@@ -171,6 +171,18 @@
     this.report(range, 'took over a key range', ledger.size);
   }
 
+  /** Limits of one ledger: an equal part of what this daemon can remember. */
+  private createLimits(): LedgerLimits {
+    const { held } = this;
+    const { operations, recentAnswers } = this.context.limits;
+    return {
+      get operations() {
+        return Math.floor(operations / Math.max(1, held.size));
+      },
+      recentAnswers,
+    };
+  }
+
   private createJournal(range: RangeNumber, ledger: OperationLedger): Journal {
     const { store, clock, random, incarnation, retention } = this.context;
     this.term += 1;
