--- a/src/daemon/FleetReport.ts
+++ b/src/daemon/FleetReport.ts
@@ -1,102 +1,121 @@
-import type { ServiceName, TargetEntry, TargetState } from '../api/index.js';
+import type {
+  Configuration,
+  LogLine,
+  ServiceLimits,
+  ServiceName,
+  TargetEntry,
+  TargetId,
+} from '../api/index.js';
+import { stateCatalogue } from '../common/ejection/StateCatalogue.js';
+import type { MemberRecord } from '../common/membership/Types.js';
 import type {
   MemberReport,
   ServiceReport,
   StatusReport,
   TargetReport,
 } from '../common/services/AdminTypes.js';
-import type { ConfigurationDistribution } from './ConfigurationDistribution.js';
-import type { Membership } from './Membership.js';
+import { slotsInService } from '../common/services/slotsInService.js';
 import type { OperatorSource } from './operatorHandlers.js';
 import type { Identity } from './Types.js';
 
-const inService: ReadonlySet<TargetState> = new Set(['active', 'suspect', 'trial']);
-
-/** What the report depends on. */
+/** What the report is made from. */
 export interface FleetReportSettings {
   readonly identity: Identity;
-  readonly membership: Membership;
-  readonly configuration: ConfigurationDistribution;
-  readonly storeState: () => StatusReport['store'];
-  /** Reason of the state of a target, if this daemon knows it. */
-  readonly explain: (target: TargetEntry) => string | undefined;
-  /** Puts an ejected or suspected target of this home back; false if it is not here. */
-  readonly restore: (target: string) => boolean;
+  /** Records of all known members, with this daemon's own. */
+  readonly members: () => readonly MemberRecord[];
+  readonly services: () => readonly ServiceName[];
+  readonly targetsOf: (service: ServiceName) => readonly TargetEntry[];
+  readonly configuration: () => Configuration | undefined;
+  readonly limitsOf: (service: ServiceName) => ServiceLimits;
+  /** Remembered log lines that name an id, oldest first. */
+  readonly findLines: (id: string) => readonly LogLine[];
+  /** Puts an ejected or suspected target of this home back; false if this daemon is not its home. */
+  readonly restore: (target: TargetId) => boolean;
 }
 
-/** The fleet as this daemon tells operators. */
+function toMember({ id, status, location, adminAddress, revision }: MemberRecord): MemberReport {
+  const { dataCentre } = location;
+  return { daemon: id, status, dataCentre, admin: adminAddress, revision };
+}
+
+/** The fleet as this daemon sees it, for operators. */
 export class FleetReport implements OperatorSource {
   public constructor(private readonly settings: FleetReportSettings) {}
 
   public status(): StatusReport {
-    const { identity, configuration, storeState } = this.settings;
+    const { identity, members, configuration } = this.settings;
+    const current = configuration();
+    const targets = this.targets();
     return {
       daemon: identity.id,
       incarnation: identity.incarnation,
       region: identity.location.region,
       dataCentre: identity.location.dataCentre,
-      revision: configuration.revision(),
-      preset: configuration.current?.preset ?? '',
-      store: storeState(),
-      members: this.members(),
-      services: this.serviceNames().map((service) => this.service(service)),
+      revision: current?.revision ?? 0,
+      preset: current?.preset ?? '',
+      members: members().map(toMember),
+      services: this.serviceNames().map((service) => this.toService(service, targets)),
     };
   }
 
   public targets(): readonly TargetReport[] {
-    const { targets } = this.settings.membership;
-    return targets
-      .services()
-      .flatMap((service) => targets.all(service))
-      .map((target) => this.target(target))
-      .sort((left, right) => (left.id < right.id ? -1 : 1));
+    const { services, targetsOf } = this.settings;
+    return services().flatMap((service) =>
+      targetsOf(service).map((target) => this.toTarget(target)),
+    );
   }
 
   public restore(target: string): boolean {
-    return this.settings.restore(target);
-  }
-
-  private members(): MemberReport[] {
-    return this.settings.membership.table.all().map((member) => ({
-      daemon: member.id,
-      status: member.status,
-      dataCentre: member.location.dataCentre,
-      admin: member.adminAddress,
-      revision: member.revision,
-    }));
+    return this.settings.restore(target as TargetId);
   }
 
-  private serviceNames(): ServiceName[] {
-    const { configuration, membership } = this.settings;
-    const configured = configuration.current?.services.map(({ name }) => name) ?? [];
-    return [...new Set([...configured, ...membership.targets.services()])].sort();
+  /** Configured services and those of the targets. */
+  private serviceNames(): readonly ServiceName[] {
+    const { services, configuration } = this.settings;
+    const configured = configuration()?.services.map(({ name }) => name) ?? [];
+    return [...new Set([...configured, ...services()])].sort();
   }
 
-  private service(service: ServiceName): ServiceReport {
-    const targets = this.settings.membership.targets.all(service);
-    const count = (list: readonly TargetEntry[]): number =>
-      list.reduce((sum, { slots }) => sum + slots, 0);
+  private toService(service: ServiceName, all: readonly TargetReport[]): ServiceReport {
+    const targets = all.filter((target) => target.service === service);
     return {
       service,
       targets: targets.length,
-      slots: count(targets),
-      slotsInService: count(targets.filter(({ status }) => inService.has(status))),
-      floor: this.settings.configuration.limitsOf(service).floor,
+      slots: targets.reduce((sum, { slots }) => sum + slots, 0),
+      slotsInService: slotsInService(targets),
+      floor: this.settings.limitsOf(service).floor,
     };
   }
 
-  private target(target: TargetEntry): TargetReport {
-    const { id, service, home, address, slots, status, share } = target;
+  private toTarget(target: TargetEntry): TargetReport {
+    const { id, service, home, location, address, slots, status, share } = target;
     return {
       id,
       service,
       home,
-      dataCentre: target.location.dataCentre,
+      dataCentre: location.dataCentre,
       address,
       slots,
       state: status,
       share,
-      why: this.settings.explain(target) ?? '',
+      why: this.explain(target),
     };
   }
+
+  /** An operator's hold, else the last decision that this daemon remembers, else the meaning of the state. */
+  private explain({ id, status }: TargetEntry): string {
+    const holds = this.settings.configuration()?.holds ?? [];
+    const hold = holds.find(({ target }) => target === id);
+    if (hold !== undefined) return `${hold.action} by ${hold.author}`;
+    const last = this.settings
+      .findLines(id)
+      .findLast(({ kind, fields }) => kind === 'ejection' && fields.to === status);
+    if (last !== undefined) return FleetReport.describe(last);
+    return stateCatalogue.find(({ state }) => state === status)?.meaning ?? '';
+  }
+
+  private static describe({ message, fields }: LogLine): string {
+    const parts = [fields.cause, fields.reason].filter((part) => part !== undefined);
+    return [message, parts.join(', ')].join(': ');
+  }
 }
