--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -1,9 +1,17 @@
 import { crest } from './scenarios/crest.js';
 import { headOfLine } from './scenarios/headOfLine.js';
 import { hedging } from './scenarios/hedging.js';
+import { loopback } from './scenarios/loopback.js';
 import { operations } from './scenarios/operations.js';
 import { retries } from './scenarios/retries.js';
 import type { Scenario } from './Types.js';
 
 /** All scenarios, in the order of the report. */
-export const scenarios: readonly Scenario[] = [headOfLine, crest, retries, hedging, operations];
+export const scenarios: readonly Scenario[] = [
+  headOfLine,
+  crest,
+  retries,
+  hedging,
+  operations,
+  loopback,
+];
--- a/src/demo/ChildProcess.ts
+++ b/src/demo/ChildProcess.ts
@@ -29,6 +29,11 @@
     this.child.stderr?.on('data', keep);
   }
 
+  /** Process id. */
+  public get id(): number {
+    return this.child.pid ?? 0;
+  }
+
   /** What the process has printed so far. */
   public get text(): string {
     return this.output;
