--- a/src/cli/ChangeCommand.ts
+++ b/src/cli/ChangeCommand.ts
@@ -22,6 +22,7 @@
 
 function formatUndo(undo: string | undefined, revision: number): string {
   if (undo !== undefined) return `undo: limpettrack ${undo}`;
+  if (revision === 1) return 'this is the first revision; there is none to return to';
   return `undo, if nothing else has changed since: limpettrack revision restore ${revision - 1}`;
 }
 
--- a/src/cli/OperatorCommand.ts
+++ b/src/cli/OperatorCommand.ts
@@ -23,7 +23,8 @@
 /** Base of all commands: options of the connections, output, and exit codes of errors. */
 export abstract class OperatorCommand extends Command<OperatorContext> {
   public settings = Option.String('--settings', {
-    description: 'INI file with section [operator]: store, daemon, author',
+    description: 'INI file with section [operator]: store, daemon, author, adapter',
+    env: 'LIMPETTRACK_SETTINGS',
   });
 
   public store = Option.String('--store', { description: 'addresses of the store, host:port,...' });
--- a/src/cli/commands/TargetListCommand.ts
+++ b/src/cli/commands/TargetListCommand.ts
@@ -24,10 +24,12 @@
 
   protected override async show(): Promise<ExitCode> {
     const all = await (await this.daemons()).targets();
-    const targets = all.filter(
-      ({ service, state }) =>
-        service === (this.service ?? service) && state === (this.state ?? state),
-    );
+    const targets = all
+      .filter(
+        ({ service, state }) =>
+          service === (this.service ?? service) && state === (this.state ?? state),
+      )
+      .sort((one, other) => one.id.localeCompare(other.id, 'en', { numeric: true }));
     const rows = targets.map((target) => TargetListCommand.toRow(target));
     const header = ['target', 'service', 'state', 'share', 'slots', 'home', 'data centre', 'why'];
     this.write(targets, formatTable(header, rows));
--- a/src/store/CallHandler.ts
+++ b/src/store/CallHandler.ts
@@ -59,6 +59,8 @@
     const answer = CallHandler.attempt(run);
     if (fate === 'cut-answer') return;
     this.later(() => {
+      // A cut that began meanwhile takes the answer with it.
+      if (!this.faults.canDeliver(peer)) return;
       if (fate === 'lose-answer') callback(callError(status.UNAVAILABLE, 'the answer was lost'));
       else callback(answer.error, answer.value);
     });
