--- a/src/cli/ChangeCommand.ts
+++ b/src/cli/ChangeCommand.ts
@@ -9,14 +9,15 @@
 import type { ChangeConflict, ChangePlan, ChangeReport } from './Types.js';
 
 function formatConflict(report: ChangeConflict): string[] {
-  const { base, present, author, overlap } = report;
+  const { base, present, between, overlap } = report;
   return [
-    `conflict: your change is NOT in. ${author} changed ${overlap.join(', ')} at revision ${present}.`,
+    `conflict: your change is NOT in. Since revision ${base} someone changed ${overlap.join(', ')}.`,
+    ...between.map(({ revision, author, summary }) => `  ${revision} by ${author}: ${summary}`),
     `your change, from revision ${base}:`,
     ...formatChanges(report.ours),
-    `the other change, from revision ${base} to ${present}, which is in:`,
+    `what changed from revision ${base} to ${present}, which is in:`,
     ...formatChanges(report.theirs),
-    `To keep the other change, do nothing. To put yours on top, run the command again with --base ${present}.`,
+    `To keep what is in, do nothing. To put yours on top, run the command again with --base ${present}.`,
   ];
 }
 
--- a/src/cli/ChangeRunner.test.ts
+++ b/src/cli/ChangeRunner.test.ts
@@ -215,7 +215,10 @@
     });
     expect(report.ours).to.deep.equal([floor(20)]);
     expect(report.theirs).to.deep.equal([floor(30)]);
-    expect([report.base, report.present, report.author]).to.deep.equal([1, 2, 'ben']);
+    expect([report.base, report.present]).to.deep.equal([1, 2]);
+    expect(report.between.map(({ revision, author }) => [revision, author])).to.deep.equal([
+      [2, 'ben'],
+    ]);
   });
 
   it('guards against an old base: a change made on an outdated view is a conflict', async () => {
--- a/src/cli/ChangeRunner.ts
+++ b/src/cli/ChangeRunner.ts
@@ -45,7 +45,7 @@
     const base = await this.readBase(present, options.base);
     const keptAuthors: string[] = [];
     for (let attempt = 0; attempt < maxAttempts; attempt += 1) {
-      const conflict = ChangeRunner.findConflict(plan, base, present);
+      const conflict = await this.findConflict(plan, base, present);
       if (conflict !== undefined) return right(conflict);
       const edited = plan.edit(present.configuration);
       if (isLeft(edited)) return edited;
@@ -109,11 +109,11 @@
     return head === undefined ? { type: 'unknown' } : { type: 'applied', head };
   }
 
-  private static findConflict(
+  private async findConflict(
     plan: ChangePlan,
     base: Configuration,
     present: ConfigurationSnapshot,
-  ): ChangeConflict | undefined {
+  ): Promise<ChangeConflict | undefined> {
     const { configuration } = present;
     if (base.revision === configuration.revision) return undefined;
     const wanted = plan.edit(base);
@@ -127,11 +127,15 @@
         .filter((document) => plan.reliesOn === 'everything' || plan.reliesOn?.includes(document)),
     ]);
     if (touched.size === 0) return undefined;
+    const heads = await this.editor.history();
     return {
       type: 'conflict',
       base: base.revision,
       present: configuration.revision,
-      author: present.head?.author ?? 'unknown',
+      between: heads
+        .filter(({ revision }) => revision > base.revision && revision <= configuration.revision)
+        .map(({ revision, author, summary }) => ({ revision, author, summary }))
+        .reverse(),
       ours,
       theirs,
       overlap: [...touched],
--- a/src/cli/Types.ts
+++ b/src/cli/Types.ts
@@ -1,7 +1,11 @@
 /** Types of the operators' command line. */
 import type { BaseContext } from 'clipanion';
 import type { Clock } from '../common/base/index.js';
-import type { ConfigurationContent, ConfigurationEditor } from '../common/configuration/Types.js';
+import type {
+  ConfigurationContent,
+  ConfigurationEditor,
+  ConfigurationHead,
+} from '../common/configuration/Types.js';
 import type { Store } from '../common/services/Types.js';
 import type { DocumentChange } from './configurationDiff.js';
 import type { Edit } from './edits.js';
@@ -49,9 +53,10 @@
   readonly type: 'conflict';
   /** Revision that both changes started from. */
   readonly base: number;
-  /** Revision that stands in the store, with its author. */
+  /** Revision that stands in the store. */
   readonly present: number;
-  readonly author: string;
+  /** Heads after `base` up to `present`, oldest first. */
+  readonly between: readonly Pick<ConfigurationHead, 'revision' | 'author' | 'summary'>[];
   readonly ours: readonly DocumentChange[];
   readonly theirs: readonly DocumentChange[];
   /** Documents that both touch. */
