--- a/src/bench/admission/Types.ts
+++ b/src/bench/admission/Types.ts
@@ -1,5 +1,6 @@
 /** Interfaces of the simulated fleet for selection, admission and retries. */
 import type { WorkClass } from '../../api/index.js';
+import type { Fleet } from './Fleet.js';
 
 /** Kind of request that callers send. */
 export interface RequestKind {
@@ -12,6 +13,8 @@
   /** Milliseconds. */
   readonly timeout: number;
   readonly isIdempotent: boolean;
+  /** Milliseconds for which a caller repeats a refused request; 0 if it gives up at once. */
+  readonly patience: number;
 }
 
 /** One request of a caller. */
@@ -33,9 +36,11 @@
   readonly retryAfter: number;
 }
 
-/** Request with its result. */
+/** Request with its last result. Times count from the first time that the caller sent it. */
 export interface Observation {
   readonly request: SimulatedRequest;
+  /** Refusals before the result. */
+  readonly refusals: number;
   readonly result: SimulatedResult;
 }
 
@@ -60,16 +65,6 @@
   readonly rateAt: (time: number) => number;
   /** Milliseconds. */
   readonly duration: number;
-  /** Refusals after which a caller gives up. */
-  readonly callerRetries: number;
-  /** Events during the run, such as faults. */
-  readonly onTime?: readonly {
-    readonly at: number;
-    readonly action: (fleet: FaultTarget[]) => void;
-  }[];
-}
-
-/** The part of a fake target that a scenario changes. */
-export interface FaultTarget {
-  fault: import('../FakeTarget.js').Fault;
+  /** Events during the run, such as faults, at times in milliseconds. */
+  readonly onTime?: readonly { readonly at: number; readonly action: (fleet: Fleet) => void }[];
 }
--- a/src/common/selection/Selector.ts
+++ b/src/common/selection/Selector.ts
@@ -22,6 +22,12 @@
 /** Bytes assumed of an answer whose size is not known. */
 const assumedBytes = 8_192;
 
+/**
+ * Milliseconds of wait that a target which always fails counts as. Without this a target that fails at once
+ * looks idle and draws most of the requests until it is a suspect.
+ */
+const failurePenalty = 500;
+
 /** A candidate with what the comparison needs. */
 interface Candidate {
   readonly target: TargetEntry;
@@ -85,18 +91,18 @@
   }
 
   private findUsable(
-    { avoid }: Selection,
+    { avoid, context }: Selection,
     candidates: readonly TargetEntry[],
     load: LoadView,
   ): readonly Candidate[] {
     const usable = candidates.filter(({ status }) => usableStates.has(status));
     const fresh = usable.filter(({ id }) => avoid?.has(id) !== true);
-    return fresh.map((target) => this.assess(target, load));
+    return fresh.map((target) => this.assess(target, load, context.route));
   }
 
-  private assess(target: TargetEntry, load: LoadView): Candidate {
+  private assess(target: TargetEntry, load: LoadView, route: string): Candidate {
     const locality = this.localityOf(target.location);
-    const estimate = load.estimate(target);
+    const estimate = load.estimate(target, route);
     // A target with a part of its share has the same part of its slots for this comparison.
     const slots = Math.max(estimate.slots * target.share, Number.EPSILON);
     const wait = (Math.max(0, estimate.total) / slots) * estimate.serviceTime;
@@ -105,7 +111,11 @@
       locality,
       hasFreeSlot: estimate.total < estimate.slots,
       wait,
-      rank: wait + this.roundTrip[locality] + this.settings.pathPenalty(target.home),
+      rank:
+        wait +
+        estimate.failureShare * failurePenalty +
+        this.roundTrip[locality] +
+        this.settings.pathPenalty(target.home),
     };
   }
 
