Measure the cost of the membership and its time to agreement

The scenario runs the real tasks of up to 730 daemons on the virtual clock and passes every exchange through the codec of the peer protocol. Tests of the configuration that passed with their guard taken out now fail: a damaged chunk is still a list, and the store is away when chunks must come from other peers.

--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -1,5 +1,6 @@
 import { headOfLine } from './scenarios/headOfLine.js';
+import { membership } from './scenarios/membership.js';
 import type { Scenario } from './Types.js';
 
 /** All scenarios, in the order of the report. */
-export const scenarios: readonly Scenario[] = [headOfLine];
+export const scenarios: readonly Scenario[] = [headOfLine, membership];
--- /dev/null
+++ b/src/bench/scenarios/membership.ts
@@ -0,0 +1,260 @@
+import { VirtualClock, brandAs, createRandom, pickIndex } from '../../common/base/index.js';
+import type { Incarnation, ServiceName, TargetId } from '../../common/base/index.js';
+import type { MemberTarget, MemberUpdate } from '../../common/membership/Types.js';
+import { decodeUpdate, encodeUpdate } from '../../daemon/MembershipMessages.js';
+import { Peer } from '../../daemon/PeerProtocol.js';
+import { MemberFleet } from '../simulation/MemberFleet.js';
+import type { FleetMessage, FleetOptions } from '../simulation/MemberFleet.js';
+import { measurePeerCall } from '../simulation/PeerCallCost.js';
+import type { PeerCallCost } from '../simulation/PeerCallCost.js';
+import { summarise } from '../Statistics.js';
+import type { Figure, Row, Scenario } from '../Types.js';
+
+/** Daemons of the measured fleets; the last is the size of docs/design.md 1.6. */
+const sizes = [8, 32, 128, 730];
+const fullSize = 730;
+const targetsPerDaemon = 13;
+
+/**
+ * Changes of target states a second at full size. 1,200 restarts a day with two moves of 13 targets each are 0.4 a
+ * second; the rest allows each of 9,600 targets 14 changes of state a day.
+ */
+const changesAtFullSize = 2;
+
+/** Virtual milliseconds before and during a measurement. */
+const warmUp = 5000;
+const window = 20000;
+
+/** Virtual milliseconds after which agreement is given up. */
+const agreementLimit = 60000;
+
+const byteBudget = 23 * 1000;
+const processorBudget = 1.6;
+const agreementBudget = 16;
+
+const dataCentres = ['gam-a', 'gam-b', 'gte-a', 'gte-b', 'gte-c'];
+
+interface Usage {
+  bytes: number;
+  calls: number;
+  processor: number;
+}
+
+/** Region and data centre of the daemon at an index: 2 regions, 5 data centres. */
+export function placeOf(index: number): { region: string; dataCentre: string } {
+  const dataCentre = dataCentres[index % dataCentres.length] as string;
+  return { region: dataCentre.slice(0, 3), dataCentre };
+}
+
+/** Targets of the daemon at an index. */
+export function targetsOf(index: number): MemberTarget[] {
+  return Array.from({ length: targetsPerDaemon }, (_, position) => ({
+    id: brandAs<TargetId>(`target-${index * targetsPerDaemon + position}`),
+    incarnation: brandAs<Incarnation>('0mjum3k00-1x9a2b3'),
+    service: brandAs<ServiceName>(`service-${(index * targetsPerDaemon + position) % 190}`),
+    address: `10.${index >> 8}.${index & 255}.${position + 2}:8080`,
+    slots: 5,
+    connections: 330,
+    status: 'active',
+    share: 1,
+  }));
+}
+
+/** Passes an update through the codec of the peer protocol and counts the bytes. */
+function encodedSize(update: MemberUpdate): number {
+  const { requestSerialize, requestDeserialize } = Peer.service.Exchange;
+  const bytes = requestSerialize(encodeUpdate(update));
+  decodeUpdate(requestDeserialize(bytes));
+  return bytes.length;
+}
+
+function countMessage(usage: Usage, { kind, update, sender, receiver }: FleetMessage): void {
+  usage.calls += 0.5;
+  if (kind === 'exchange' && update !== undefined && sender !== receiver) {
+    usage.bytes += encodedSize(update);
+  }
+}
+
+/** Changes random targets at a rate proportional to the fleet. */
+function startChanges(fleet: MemberFleet, clock: VirtualClock, seed: number, size: number): void {
+  const random = createRandom(seed);
+  const period = 1000 / ((changesAtFullSize * size) / fullSize);
+  const change = (): void => {
+    const { table } = fleet.node(pickIndex(random, size));
+    const targets = table.self.targets ?? [];
+    const chosen = pickIndex(random, targets.length);
+    const toggled = targets.map((target, index): MemberTarget => {
+      if (index !== chosen) return target;
+      return { ...target, status: target.status === 'active' ? 'suspect' : 'active' };
+    });
+    table.updateSelf({ targets: toggled });
+    clock.after(period, change);
+  };
+  clock.after(random() * period, change);
+}
+
+function createFleet(clock: VirtualClock, seed: number, size: number, rest: Partial<FleetOptions>) {
+  return new MemberFleet({ clock, seed, size, placeOf, targetsOf, isAcquainted: true, ...rest });
+}
+
+async function measureUsage(seed: number, size: number, isChanging: boolean): Promise<Usage> {
+  const clock = new VirtualClock();
+  const usage: Usage = { bytes: 0, calls: 0, processor: 0 };
+  const onMessage = (message: FleetMessage): void => countMessage(usage, message);
+  const fleet = createFleet(clock, seed, size, { onMessage });
+  fleet.start();
+  if (isChanging) startChanges(fleet, clock, seed, size);
+  await clock.advanceAsync(warmUp);
+  Object.assign(usage, { bytes: 0, calls: 0 });
+  const before = process.cpuUsage();
+  await clock.advanceAsync(window);
+  const { user, system } = process.cpuUsage(before);
+  fleet.dispose();
+  const daemonSeconds = size * (window / 1000);
+  return {
+    bytes: usage.bytes / daemonSeconds,
+    calls: usage.calls / daemonSeconds,
+    processor: (user + system) / 1e6 / daemonSeconds,
+  };
+}
+
+/** Seconds until the views agree after a twentieth of the fleet is lost at once. */
+async function measureLoss(seed: number, size: number): Promise<number> {
+  const clock = new VirtualClock();
+  const fleet = createFleet(clock, seed, size, {});
+  fleet.start();
+  await clock.advanceAsync(warmUp);
+  const lost = Math.max(1, Math.round(size / 20));
+  for (let index = 0; index < lost; index++) fleet.crash(index * 5);
+  const time = await fleet.timeToAgreement(agreementLimit);
+  fleet.dispose();
+  return time / 1000;
+}
+
+/** Seconds until the views agree when two regions meet again. */
+async function measureRejoin(seed: number, size: number): Promise<number> {
+  const clock = new VirtualClock();
+  const fleet = createFleet(clock, seed, size, {});
+  fleet.start();
+  await clock.advanceAsync(warmUp);
+  fleet.isCut = (sender, receiver) => placeOf(sender).region !== placeOf(receiver).region;
+  await clock.advanceAsync(30000);
+  fleet.isCut = () => false;
+  const time = await fleet.timeToAgreement(agreementLimit);
+  fleet.dispose();
+  return time / 1000;
+}
+
+async function repeat<Result>(
+  seeds: readonly number[],
+  measure: (seed: number) => Promise<Result>,
+): Promise<Result[]> {
+  const results: Result[] = [];
+  for (const seed of seeds) results.push(await measure(seed));
+  return results;
+}
+
+/** Bytes of the payload twice, as sent and as received, and of the calls around it. */
+function totalBytes({ bytes, calls }: Usage, cost: PeerCallCost): number {
+  return 2 * (bytes + calls * cost.bytes);
+}
+
+function totalProcessor({ processor, calls }: Usage, cost: PeerCallCost): number {
+  return 100 * (processor + calls * cost.processor);
+}
+
+async function usageRows(
+  seeds: readonly number[],
+  isChanging: boolean,
+  cost: PeerCallCost,
+): Promise<Row[]> {
+  const bytes: Figure[] = [];
+  const processor: Figure[] = [];
+  for (const size of sizes) {
+    const usages = await repeat(seeds, (seed) => measureUsage(seed, size, isChanging));
+    const name = `${size} daemons, ${size * targetsPerDaemon} targets`;
+    bytes.push(
+      summarise(
+        name,
+        usages.map((usage) => totalBytes(usage, cost)),
+      ),
+    );
+    processor.push(
+      summarise(
+        name,
+        usages.map((usage) => totalProcessor(usage, cost)),
+      ),
+    );
+  }
+  const load = isChanging ? `${changesAtFullSize} target changes/s at full size` : 'no changes';
+  const notMeasured = 'TCP and IP headers; the simulation of links and timers is included';
+  return [
+    {
+      measure: `membership bytes per daemon, sent and received, ${load}`,
+      unit: 'B/s',
+      goal: `${byteBudget} B/s for all control`,
+      isMet: (bytes.at(-1)?.median ?? Infinity) <= byteBudget,
+      figures: bytes,
+      seeds,
+      notMeasured: 'TCP and IP headers',
+    },
+    {
+      measure: `membership processor time per daemon, ${load}`,
+      unit: '% of a core',
+      goal: `${processorBudget}% for all control`,
+      isMet: (processor.at(-1)?.median ?? Infinity) <= processorBudget,
+      figures: processor,
+      seeds,
+      notMeasured,
+    },
+  ];
+}
+
+async function agreementRow(
+  measure: string,
+  seeds: readonly number[],
+  run: (seed: number, size: number) => Promise<number>,
+): Promise<Row> {
+  const figures: Figure[] = [];
+  for (const size of sizes) {
+    const times = await repeat(seeds, (seed) => run(seed, size));
+    figures.push(summarise(`${size} daemons`, times));
+  }
+  const isMet = figures.every(({ highest }) => highest <= agreementBudget);
+  return { measure, unit: 's', goal: `${agreementBudget} s`, isMet, figures, seeds };
+}
+
+function callRow(costs: readonly PeerCallCost[], seeds: readonly number[]): Row {
+  return {
+    measure: 'one unary peer call over loopback, both ends, without its message',
+    unit: 'B on the connection; processor ms for one end',
+    goal: '',
+    figures: [
+      summarise(
+        'bytes',
+        costs.map(({ bytes }) => bytes),
+      ),
+      summarise(
+        'processor ms',
+        costs.map(({ processor }) => processor * 1000),
+      ),
+    ],
+    seeds,
+  };
+}
+
+/** Cost of the membership and its time to agreement against the number of daemons. */
+export const membership: Scenario = {
+  name: 'membership',
+  run: async (seeds) => {
+    const costs = await repeat(seeds, () => measurePeerCall());
+    const cost = costs[Math.floor(costs.length / 2)] as PeerCallCost;
+    return [
+      callRow(costs, seeds),
+      ...(await usageRows(seeds, false, cost)),
+      ...(await usageRows(seeds, true, cost)),
+      await agreementRow('views agree after a twentieth is lost at once', seeds, measureLoss),
+      await agreementRow('views agree after two regions meet again', seeds, measureRejoin),
+    ];
+  },
+};
--- a/src/bench/simulation/FleetNode.ts
+++ b/src/bench/simulation/FleetNode.ts
@@ -28,11 +28,13 @@
     contacts: readonly string[],
     link: PeerLink,
     revisions: RevisionExchange,
+    known: readonly MemberRecord[] = [],
   ) {
     this.clock = new PausableClock(clock);
     const log = { write: ({ message }: { message: string }): unknown => this.log.push(message) };
     const parts = { link, clock: this.clock, random, log };
     this.table = new MemberTable(record, this.clock);
+    known.forEach((other) => this.table.merge(other));
     this.gossip = new GossipTask({ ...parts, table: this.table, contacts, revisions });
     const prober = new Prober({ ...parts, table: this.table });
     const notify = (member: MemberRecord): void => this.gossip.notify(member);
--- a/src/bench/simulation/MemberFleet.ts
+++ b/src/bench/simulation/MemberFleet.ts
@@ -43,6 +43,8 @@
   readonly targetsOf?: (index: number) => readonly MemberTarget[];
   readonly revisionsOf?: (index: number) => RevisionExchange;
   readonly onMessage?: (message: FleetMessage) => void;
+  /** All daemons know each other from the start, as in a fleet that has run for long. */
+  readonly isAcquainted?: boolean;
 }
 
 const noRevisions: RevisionExchange = {
@@ -62,7 +64,10 @@
 
   public constructor(private readonly options: FleetOptions) {
     this.random = createRandom(options.seed);
-    for (let index = 0; index < options.size; index++) this.nodes.push(this.createNode(index));
+    const indexes = Array.from({ length: options.size }, (_, index) => index);
+    const records = indexes.map((index) => this.createRecord(index));
+    const known = options.isAcquainted === true ? records : [];
+    records.forEach((record, index) => this.nodes.push(this.createNode(index, record, known)));
   }
 
   public static idOf(index: number): DaemonId {
@@ -81,7 +86,7 @@
   /** Starts a new process with the same id and address and a new incarnation. */
   public restart(index: number): void {
     this.crash(index);
-    this.nodes[index] = this.createNode(index);
+    this.nodes[index] = this.createNode(index, this.createRecord(index));
     this.node(index).start();
   }
 
@@ -96,9 +101,11 @@
   /** Whether each running daemon holds exactly the running daemons as live, with equal digests. */
   public isAgreed(): boolean {
     const running = this.running();
+    const digest = running[0]?.table.digest();
+    // Equal digests mean equal views, so that one view is enough to look at.
+    if (running.some(({ table }) => table.digest() !== digest)) return false;
     const expected = running.map(({ table }) => table.self.id).sort();
-    const digests = new Set(running.map(({ table }) => table.digest()));
-    return digests.size === 1 && running.every((node) => MemberFleet.holds(node, expected));
+    return MemberFleet.holds(this.running()[0] as FleetNode, expected);
   }
 
   /** Virtual milliseconds until the views agree, or `limit` if they do not. */
@@ -125,30 +132,35 @@
     return this.options.placeOf?.(index) ?? { region: 'gam', dataCentre: 'gam-a' };
   }
 
-  private createNode(index: number): FleetNode {
-    const { clock, seed, targetsOf, revisionsOf } = this.options;
-    const place = this.placeOf(index);
-    const record: MemberRecord = {
+  private createRecord(index: number): MemberRecord {
+    const { clock, targetsOf } = this.options;
+    const { region, dataCentre } = this.placeOf(index);
+    return {
       id: MemberFleet.idOf(index),
       incarnation: createIncarnation(clock.now(), this.random() * 2 ** 32),
       version: 1,
       address: `10.${index >> 8}.${index & 255}.1:7400`,
       adminAddress: `10.${index >> 8}.${index & 255}.1:7401`,
-      location: {
-        region: brandAs<Region>(place.region),
-        dataCentre: brandAs<DataCentre>(place.dataCentre),
-      },
+      location: { region: brandAs<Region>(region), dataCentre: brandAs<DataCentre>(dataCentre) },
       status: 'alive',
       targetsVersion: 1,
       targets: targetsOf?.(index) ?? [],
       revision: 0,
       ranges: [],
     };
+  }
+
+  private createNode(
+    index: number,
+    record: MemberRecord,
+    known: readonly MemberRecord[] = [],
+  ): FleetNode {
+    const { clock, seed, revisionsOf } = this.options;
     const contacts = index === 0 ? [] : ['10.0.0.1:7400', '10.0.1.1:7400'];
     const revisions = revisionsOf?.(index) ?? noRevisions;
     const random = createRandom(seed * 100003 + index);
     const link = this.linkOf(index);
-    return new FleetNode(index, record, clock, random, contacts, link, revisions);
+    return new FleetNode(index, record, clock, random, contacts, link, revisions, known);
   }
 
   /** Index of the daemon at an address. */
--- a/src/common/base/VirtualClock.ts
+++ b/src/common/base/VirtualClock.ts
@@ -3,7 +3,12 @@
 interface Timer {
   readonly due: number;
   readonly order: number;
-  readonly callback: () => void;
+  /** Undefined once the timer has been disposed. */
+  callback: (() => void) | undefined;
+}
+
+function firesBefore(left: Timer, right: Timer): boolean {
+  return left.due === right.due ? left.order < right.order : left.due < right.due;
 }
 
 /** Clock that moves only when told to, for tests and simulations. Timers fire in order of due time. */
@@ -12,7 +17,8 @@
 
   private order = 0;
 
-  private timers: Timer[] = [];
+  /** Binary heap: long simulations hold many timers, and a sorted list would be copied for each. */
+  private readonly timers: Timer[] = [];
 
   public constructor(private readonly start: Date = new Date('2026-01-01T00:00:00Z')) {}
 
@@ -30,7 +36,7 @@
     this.insert(timer);
     return {
       dispose: () => {
-        this.timers = this.timers.filter((other) => other !== timer);
+        timer.callback = undefined;
       },
     };
   }
@@ -62,21 +68,45 @@
   private fireNext(end: number): boolean {
     const timer = this.timers[0];
     if (timer === undefined || timer.due > end) return false;
-    this.timers.shift();
+    this.removeFirst();
+    const { callback } = timer;
+    if (callback === undefined) return true;
     this.time = Math.max(this.time, timer.due);
-    timer.callback();
+    callback();
     return true;
   }
 
   private insert(timer: Timer): void {
-    let low = 0;
-    let high = this.timers.length;
-    while (low < high) {
-      const middle = (low + high) >>> 1;
-      const other = this.timers[middle];
-      if (other !== undefined && other.due <= timer.due) low = middle + 1;
-      else high = middle;
+    let index = this.timers.length;
+    while (index > 0) {
+      const parent = (index - 1) >>> 1;
+      const other = this.timers[parent];
+      if (other === undefined || !firesBefore(timer, other)) break;
+      this.timers[index] = other;
+      index = parent;
     }
-    this.timers.splice(low, 0, timer);
+    this.timers[index] = timer;
+  }
+
+  private removeFirst(): void {
+    const last = this.timers.pop();
+    if (last === undefined || this.timers.length === 0) return;
+    let index = 0;
+    for (;;) {
+      const child = this.earlierChild(index);
+      const other = this.timers[child];
+      if (other === undefined || !firesBefore(other, last)) break;
+      this.timers[index] = other;
+      index = child;
+    }
+    this.timers[index] = last;
+  }
+
+  private earlierChild(index: number): number {
+    const first = 2 * index + 1;
+    const left = this.timers[first];
+    const right = this.timers[first + 1];
+    const isRightEarlier = left !== undefined && right !== undefined && firesBefore(right, left);
+    return isRightEarlier ? first + 1 : first;
   }
 }
--- a/src/common/configuration/ConfigurationState.test.ts
+++ b/src/common/configuration/ConfigurationState.test.ts
@@ -27,8 +27,9 @@
   return { head, chunks };
 }
 
+/** The content is still a list of documents, so only the digest tells that some are gone. */
 function damaged({ head, chunks }: Offer): Offer {
-  const content = new Uint8Array([...chunks[1]!.content.slice(0, -1), 32]);
+  const content = new TextEncoder().encode('[]');
   return { head, chunks: [chunks[0]!, { ...chunks[1]!, content }, ...chunks.slice(2)] };
 }
 
@@ -73,6 +74,13 @@
     });
   });
 
+  it('names the chunks that are missing and those that were damaged, so that they are fetched', () => {
+    const offer = damaged(revision(2));
+    const { digest } = offer.chunks[1]!;
+    const result = new ConfigurationState(sha256).offer(offer.head, offer.chunks);
+    expect(result).to.deep.equal({ type: 'incomplete', missing: [digest], damaged: [digest] });
+  });
+
   it('keeps only the chunks of the revision in force, for memory', () => {
     const state = new ConfigurationState(sha256);
     const first = revision(1);
--- a/src/common/configuration/ConfigurationTask.test.ts
+++ b/src/common/configuration/ConfigurationTask.test.ts
@@ -124,10 +124,11 @@
     fleet.dispose();
   });
 
-  it('fetches from others when the peer that told of a revision does not answer (seed 39)', async () => {
+  it('fetches from others when neither the peer that told of a revision nor the store answers (seed 39)', async () => {
     const { fleet } = await startFleet(39);
     const head = { ...fleet.node(0).state.head!, revision: brandAs<Revision>(9) };
     const content = encodeHead({ ...head, preset: peak }, sha256);
+    fleet.store.setDown(true);
     fleet.restart(3);
     fleet.node(3).task.offer('10.9.9.1:7400', content);
     expect(await fleet.timeToRevision(9, bound)).to.be.below(bound);
--- a/src/common/configuration/ConfigurationValidation.test.ts
+++ b/src/common/configuration/ConfigurationValidation.test.ts
@@ -6,7 +6,6 @@
 import type { PresetName, Revision, ServiceName } from '../base/index.js';
 import { validateConfiguration } from './ConfigurationValidation.js';
 import { effectiveLimits, isPaused } from './EffectiveLimits.js';
-import type { ConfigurationContent } from './Types.js';
 
 const valid = createContent();
 const pujas = brandAs<ServiceName>('pujas');
--- a/src/common/membership/FailureDetector.ts
+++ b/src/common/membership/FailureDetector.ts
@@ -19,7 +19,7 @@
 export const heardSuspicionPeriod = 2 * suspicionPeriod;
 
 /** Checks of a member that peers call dead start within this many milliseconds, so that a refutation can come first. */
-export const claimCheckJitter = 1000;
+export const claimCheckJitter = 500;
 
 interface Suspicion {
   readonly seen: MemberVersion;
--- a/src/common/membership/Prober.ts
+++ b/src/common/membership/Prober.ts
@@ -7,7 +7,7 @@
 export const directTimeout = 500;
 
 /** Milliseconds until the indirect probes count as failed; the helper itself waits `directTimeout`. */
-export const indirectTimeout = 1000;
+export const indirectTimeout = 750;
 
 /** Daemons that are asked to probe a member that did not answer directly. */
 export const helperCount = 3;
