--- a/src/bench/admission/Types.ts
+++ b/src/bench/admission/Types.ts
@@ -12,6 +12,8 @@
   /** Milliseconds. */
   readonly timeout: number;
   readonly isIdempotent: boolean;
+  /** Milliseconds for which a caller repeats a refused request; 0 if it gives up at once. */
+  readonly patience: number;
 }
 
 /** One request of a caller. */
@@ -33,9 +35,11 @@
   readonly retryAfter: number;
 }
 
-/** Request with its result. */
+/** Request with its last result. Times count from the first time that the caller sent it. */
 export interface Observation {
   readonly request: SimulatedRequest;
+  /** Refusals before the result. */
+  readonly refusals: number;
   readonly result: SimulatedResult;
 }
 
@@ -60,8 +64,6 @@
   readonly rateAt: (time: number) => number;
   /** Milliseconds. */
   readonly duration: number;
-  /** Refusals after which a caller gives up. */
-  readonly callerRetries: number;
   /** Events during the run, such as faults. */
   readonly onTime?: readonly {
     readonly at: number;
--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -1,6 +1,7 @@
+import { crest } from './scenarios/crest.js';
 import { headOfLine } from './scenarios/headOfLine.js';
 import { membership } from './scenarios/membership.js';
 import type { Scenario } from './Types.js';
 
 /** All scenarios, in the order of the report. */
-export const scenarios: readonly Scenario[] = [headOfLine, membership];
+export const scenarios: readonly Scenario[] = [headOfLine, crest, membership];
--- a/src/bench/scenarios/headOfLine.ts
+++ b/src/bench/scenarios/headOfLine.ts
@@ -32,6 +32,7 @@
   work: shortWork,
   timeout: 5_000,
   isIdempotent: true,
+  patience: 0,
 };
 
 const longKind: RequestKind = {
@@ -56,7 +57,6 @@
     ],
     rateAt: () => rate,
     duration,
-    callerRetries: 0,
   };
 }
 
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -10,32 +10,41 @@
   type Disposable,
   type LogSink,
   type RandomSource,
+  storeAdapters,
   type RequestId,
   type TargetAnnouncement,
 } from '../api/index.js';
-import { largestShare, RetryBudget } from '../common/retry/RetryBudget.js';
-import { RouteTable } from '../common/routing/RouteTable.js';
+import { RetryBudget } from '../common/retry/RetryBudget.js';
 import { CrossRegionBudget } from '../common/selection/CrossRegionBudget.js';
 import { LoadTable } from '../common/selection/LoadTable.js';
 import { Selector } from '../common/selection/Selector.js';
 import { AdminServer } from './AdminServer.js';
+import { ConfigurationDistribution } from './ConfigurationDistribution.js';
+import { CountedStore } from './CountedStore.js';
 import { DecisionLog } from './DecisionLog.js';
-import { Forwarder, type RoutedRequest } from './Forwarder.js';
+import { Ejection } from './Ejection.js';
+import { FleetReport } from './FleetReport.js';
+import { Forwarder } from './Forwarder.js';
 import { GrpcPeerLink } from './GrpcPeerLink.js';
 import { HttpFront } from './HttpFront.js';
 import { LocalHome } from './LocalHome.js';
 import { Membership } from './Membership.js';
+import { OperationFront } from './OperationFront.js';
+import { Operations } from './Operations.js';
+import { addOperatorHandlers } from './operatorHandlers.js';
 import { PeerConnections } from './PeerConnections.js';
 import { PeerServer } from './PeerServer.js';
 import { RemoteHome } from './RemoteHome.js';
 import { RequestMetrics } from './RequestMetrics.js';
 import { sendJson, sendText } from './Responses.js';
 import type { DaemonSettings } from './Settings.js';
-import type { ForwardAnswer, Home, Identity } from './Types.js';
+import type { Home, Identity } from './Types.js';
 
 const announcePath = '/.limpettrack/targets/';
 /** Milliseconds until a target that did not move to another home has lost its announcement here. */
 const handOverLimit = 4_000;
+/** Milliseconds to write what is recorded and give the key ranges up. */
+const operationStopLimit = 5_000;
 const randomRange = 0x1_0000_0000;
 
 /** What a daemon takes from its process. */
@@ -60,7 +69,11 @@
 
   private readonly log: DecisionLog;
 
-  private readonly metrics = new RequestMetrics();
+  private readonly metrics = new RequestMetrics(() => this.store.calls);
+
+  private readonly store: CountedStore;
+
+  private readonly configuration: ConfigurationDistribution;
 
   private readonly home: LocalHome;
 
@@ -74,6 +87,12 @@
 
   private readonly forwarder: Forwarder;
 
+  private readonly ejection: Ejection;
+
+  private readonly operations: Operations;
+
+  private readonly operationFront: OperationFront;
+
   private readonly homes = new Map<string, Home>();
 
   private readonly membership: Membership;
@@ -92,12 +111,39 @@
       address: settings.peer,
     };
     this.log = new DecisionLog(sink, settings.routeSample, random, () => clock.now());
-    this.home = this.disposables.add(new LocalHome(clock, () => 100));
+    const adapter = storeAdapters.get(settings.storeAdapter);
+    this.store = this.disposables.add(
+      new CountedStore(adapter.createStore(settings.store, settings.id)),
+    );
     this.connections = this.disposables.add(new PeerConnections());
+    this.configuration = this.disposables.add(
+      new ConfigurationDistribution({
+        store: this.store,
+        connections: this.connections,
+        clock,
+        random,
+        log: this.log,
+      }),
+    );
+    this.home = this.disposables.add(
+      new LocalHome(clock, (service) => this.configuration.limitsOf(service).maxQueue),
+    );
     this.membership = this.disposables.add(this.createMembership());
-    this.peerServer = this.disposables.add(new PeerServer(this.home, this.membership.handlers()));
-    this.admin = this.disposables.add(new AdminServer());
     this.forwarder = this.createForwarder();
+    this.ejection = this.disposables.add(this.createEjection());
+    this.operations = this.disposables.add(this.createOperations());
+    this.operationFront = new OperationFront(this.operations, clock, (request, signal) =>
+      this.forwarder.forward(request, signal),
+    );
+    this.peerServer = this.disposables.add(
+      new PeerServer(this.home, {
+        ...this.operations.handlers(),
+        ...this.ejection.handlers(),
+        ...this.membership.handlers(),
+        ...this.configuration.handlers(),
+      }),
+    );
+    this.admin = this.disposables.add(new AdminServer());
     this.front = this.disposables.add(this.createFront());
     this.addAdminHandlers();
     this.disposables.add(this.membership.announcements.onGone(({ id }) => this.home.remove(id)));
@@ -110,6 +156,8 @@
     const admin = await this.admin.listen(settings.admin);
     const callers = await this.front.listen(settings.callers);
     this.membership.start();
+    this.configuration.start(this.membership);
+    this.operations.start();
     this.logLifecycle('serving');
     return { peer, admin, callers };
   }
@@ -124,6 +172,7 @@
     await Promise.all([this.membership.handOver(handOverLimit), notice]);
     this.membership.leave();
     await this.front.drain();
+    await this.operations.stop(operationStopLimit);
     await this.peerServer.drain();
     this.membership.end();
     this.logLifecycle('stopped');
@@ -154,24 +203,58 @@
       clock,
       random,
       log: this.log,
-      revisions: { revision: () => 0, head: () => undefined, offer: () => {} },
+      revisions: this.configuration,
     });
   }
 
   private createForwarder(): Forwarder {
     const { clock, random } = this.environment;
-    const crossRegion = new CrossRegionBudget(() => 1_000_000, clock);
+    const crossRegion = new CrossRegionBudget(
+      (service) => this.configuration.limitsOf(service).crossRegionRate,
+      clock,
+    );
     return new Forwarder({
       clock,
       directory: this.membership,
       selector: new Selector(this.identity.location, random, { pathPenalty: () => 0, crossRegion }),
       loads: new LoadTable(clock),
-      retries: new RetryBudget(() => largestShare, clock),
+      retries: new RetryBudget((service) => this.configuration.limitsOf(service).retryShare, clock),
       log: this.log,
       homeOf: (daemon) => this.homeOf(daemon),
     });
   }
 
+  private createEjection(): Ejection {
+    const { clock, random } = this.environment;
+    const { identity, store, log, home, membership, configuration, connections } = this;
+    return new Ejection({
+      identity,
+      clock,
+      random,
+      store,
+      log,
+      home,
+      membership,
+      configuration,
+      connections,
+    });
+  }
+
+  private createOperations(): Operations {
+    const { clock, random } = this.environment;
+    const { identity, store, log, membership, connections, forwarder } = this;
+    return new Operations({
+      identity,
+      store,
+      clock,
+      random,
+      log,
+      membership,
+      connections,
+      forwarder,
+    });
+  }
+
   private homeOf(daemon: DaemonId): Home {
     if (daemon === this.identity.id) return this.home;
     const address = this.membership.addressOf(daemon) ?? '';
@@ -187,40 +270,36 @@
     return new HttpFront({
       clock: this.environment.clock,
       log: this.log,
-      routes: () => this.createRoutes(),
+      routes: () => this.configuration.routes,
       forwarder: this.forwarder,
-      runOperation: (request, signal) => this.runOperation(request, signal),
-      internal: () => Promise.resolve(false),
+      runOperation: (request, signal) => this.operationFront.run(request, signal),
+      internal: (request, response, path) => this.operationFront.handle(request, response, path),
       checkLimits: () => {},
-      timeoutOf: (route) => route.timeout ?? 10_000,
+      timeoutOf: (route) => route.timeout ?? this.configuration.limitsOf(route.service).timeout,
       createId: () => this.createRequestId(),
       onFinished: (request) => this.metrics.record(request),
     });
   }
 
-  private createRoutes(): RouteTable {
-    return new RouteTable(
-      this.membership.targets.services().map((service) => ({
-        name: service,
-        service,
-        path: `/${service}`,
-        workClass: 'interactive' as const,
-      })),
-    );
-  }
-
   private createRequestId(): RequestId {
     this.requestCount += 1;
     const { id, incarnation } = this.identity;
     return brandAs<RequestId>(`${id}.${incarnation}.${this.requestCount.toString(36)}`);
   }
 
-  private runOperation(request: RoutedRequest, signal: AbortSignal): Promise<ForwardAnswer> {
-    return this.forwarder.forward(request, signal);
-  }
-
   private addAdminHandlers(): void {
     this.admin.on('PUT', announcePath, (request, response) => this.announce(request, response));
+    addOperatorHandlers(
+      this.admin,
+      new FleetReport({
+        identity: this.identity,
+        membership: this.membership,
+        configuration: this.configuration,
+        storeState: () => this.store.state,
+        explain: ({ id }) => this.ejection.explain(id),
+        restore: (target) => this.ejection.restore(target),
+      }),
+    );
     this.admin.on('GET', '/metrics', async (_request, response) => {
       const text = await this.metrics.text();
       response.writeHead(200, { 'content-type': this.metrics.registry.contentType });
@@ -233,12 +312,17 @@
 
   private async announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const announcement = (await json(request)) as TargetAnnouncement;
+    if (!this.ejection.isWelcome(announcement.id)) {
+      sendText(response, 409, 'announce to another home: this one does not reach the target');
+      return;
+    }
     const taken = this.membership.announcements.announce(announcement);
     if (isLeft(taken)) {
       sendText(response, 409, taken.left);
       return;
     }
     this.home.announce(announcement);
+    this.ejection.announce(announcement);
     sendJson(response, 200, {});
   }
 }
