--- a/src/common/configuration/ConfigurationTask.test.ts
+++ b/src/common/configuration/ConfigurationTask.test.ts
@@ -1,9 +1,15 @@
 import { expect } from 'chai';
 import { ConfigurationFleet, sha256 } from '../../bench/simulation/ConfigurationFleet.js';
 import { createContent } from '../../bench/simulation/Documents.js';
-import { VirtualClock, brandAs } from '../base/index.js';
-import type { PresetName, Revision } from '../base/index.js';
+import { FakeStore } from '../../bench/simulation/FakeStore.js';
+import { VirtualClock, brandAs, createRandom } from '../base/index.js';
+import type { DaemonId, DataCentre, PresetName, Revision } from '../base/index.js';
 import { encodeHead } from './ConfigurationCodec.js';
+import { chunkKey } from './ConfigurationKeys.js';
+import { ConfigurationState } from './ConfigurationState.js';
+import { ConfigurationTask } from './ConfigurationTask.js';
+import { StoreConfigurationEditor } from './StoreConfigurationEditor.js';
+import type { ConfigurationHead } from './Types.js';
 
 /** Bound on the time until a change is in force everywhere, in milliseconds (docs/design.md 1.1). */
 const bound = 16000;
@@ -135,3 +141,64 @@
     fleet.dispose();
   });
 });
+
+/** One task that does not watch the store. */
+async function startAlone(seed: number) {
+  const clock = new VirtualClock();
+  const store = new FakeStore();
+  const editor = new StoreConfigurationEditor(store, sha256, () => clock.now());
+  const result = await editor.change(await editor.read(), createContent(), note);
+  if (result.type !== 'applied') throw new Error('the first change was not applied');
+  const state = new ConfigurationState(sha256);
+  const errors: string[] = [];
+  const task = new ConfigurationTask({
+    state,
+    store,
+    fleet: {
+      self: brandAs<DaemonId>('a'),
+      dataCentre: brandAs<DataCentre>('gam-a'),
+      members: () => [],
+      peers: () => [],
+    },
+    // A half-open connection gives neither an answer nor an error.
+    fetchChunks: () => new Promise(() => {}),
+    digest: sha256,
+    clock,
+    random: createRandom(seed),
+    log: { write: ({ level, message }) => level === 'error' && errors.push(message) },
+  });
+  const offer = (head: ConfigurationHead): void => task.offer('peer:1', encodeHead(head, sha256));
+  return { clock, store, state, errors, offer, head: result.head };
+}
+
+describe('ConfigurationTask', () => {
+  it('takes chunks from the store when a peer never answers (seed 41)', async () => {
+    const { clock, state, offer, head } = await startAlone(41);
+    offer(head);
+    await clock.advanceAsync(5000);
+    expect(state.revision).to.equal(1);
+  });
+
+  it('goes on asking when neither peer nor store has answered (seed 42)', async () => {
+    const { clock, store, state, offer, head } = await startAlone(42);
+    store.setDown(true);
+    offer(head);
+    await clock.advanceAsync(30000);
+    store.setDown(false);
+    await clock.advanceAsync(10000);
+    expect(state.revision).to.equal(1);
+  });
+
+  it('reports a revision that cannot be decoded once, however often peers offer it (seed 43)', async () => {
+    const { clock, store, errors, offer, head } = await startAlone(43);
+    const content = new TextEncoder().encode('no list');
+    const digest = sha256(content);
+    await store.transact([], [{ type: 'put', key: chunkKey(digest), value: content }]);
+    const chunks = [...head.chunks, { kind: 'routes' as const, digest, size: content.length }];
+    for (let offered = 0; offered < 20; offered++) {
+      offer({ ...head, chunks });
+      await clock.advanceAsync(1000);
+    }
+    expect(errors.length).to.equal(1);
+  });
+});
--- a/src/daemon/ConfigurationDistribution.ts
+++ b/src/daemon/ConfigurationDistribution.ts
@@ -32,6 +32,12 @@
 
 const chunkTimeout = 2_000;
 
+/**
+ * Milliseconds for each daemon of the fleet, within which a daemon tells in its member record that a revision came
+ * into force. If all daemons told at once, 1,500 changes a day would make 13 records a second travel to 730 daemons.
+ */
+const recordPeriod = 1_000;
+
 /** Limits of a service that is not configured, so that nothing is sent to it without an operator's word. */
 const noLimits: ServiceLimits = {
   floor: 0,
@@ -59,6 +65,8 @@
 
   private task: ConfigurationTask | undefined;
 
+  private recording: Disposable | undefined;
+
   private routeTable = new RouteTable([]);
 
   private readonly limits = new Map<ServiceName, ServiceLimits>();
@@ -84,7 +92,10 @@
       }),
     );
     this.disposables.add(
-      state.onChange(({ after }) => membership.table.updateSelf({ revision: after.revision })),
+      state.onChange(() => {
+        membership.announceNow();
+        this.recordRevision(membership);
+      }),
     );
     this.task.start();
   }
@@ -138,6 +149,7 @@
   }
 
   public dispose(): void {
+    this.recording?.dispose();
     this.disposables.dispose();
   }
 
@@ -160,6 +172,15 @@
     });
   }
 
+  /** Writes the revision into the member record, at most about once a second over the whole fleet. */
+  private recordRevision({ table }: Membership): void {
+    const { clock, random } = this.settings;
+    this.recording?.dispose();
+    this.recording = clock.after(random() * table.size * recordPeriod, () => {
+      table.updateSelf({ revision: this.state.revision });
+    });
+  }
+
   private async fetchChunks(
     address: string,
     digests: readonly string[],
