--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -1,8 +1,14 @@
 import { configuration } from './scenarios/configuration.js';
 import { crest } from './scenarios/crest.js';
 import { headOfLine } from './scenarios/headOfLine.js';
-import { membership } from './scenarios/membership.js';
+import { agreement, membership } from './scenarios/membership.js';
 import type { Scenario } from './Types.js';
 
 /** All scenarios, in the order of the report. */
-export const scenarios: readonly Scenario[] = [headOfLine, crest, membership, configuration];
+export const scenarios: readonly Scenario[] = [
+  headOfLine,
+  crest,
+  membership,
+  agreement,
+  configuration,
+];
--- a/src/bench/simulation/PeerCallCost.ts
+++ b/src/bench/simulation/PeerCallCost.ts
@@ -54,6 +54,7 @@
     const other = connect(this.port, '127.0.0.1');
     [socket, other].forEach((end) => {
       this.sockets.push(end);
+      end.setNoDelay(true);
       end.on('data', ({ length }) => {
         this.bytes += length;
       });
