--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -1,13 +1,19 @@
 import { configuration } from './scenarios/configuration.js';
 import { crest } from './scenarios/crest.js';
 import { headOfLine } from './scenarios/headOfLine.js';
+import { hedging } from './scenarios/hedging.js';
 import { agreement, membership } from './scenarios/membership.js';
+import { operations } from './scenarios/operations.js';
+import { retries } from './scenarios/retries.js';
 import type { Scenario } from './Types.js';
 
 /** All scenarios, in the order of the report. */
 export const scenarios: readonly Scenario[] = [
   headOfLine,
   crest,
+  retries,
+  hedging,
+  operations,
   membership,
   agreement,
   configuration,
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -289,17 +289,6 @@
 
   private addAdminHandlers(): void {
     this.admin.on('PUT', announcePath, (request, response) => this.announce(request, response));
-    addOperatorHandlers(
-      this.admin,
-      new FleetReport({
-        identity: this.identity,
-        membership: this.membership,
-        configuration: this.configuration,
-        storeState: () => this.store.state,
-        explain: ({ id }) => this.ejection.explain(id),
-        restore: (target) => this.ejection.restore(target),
-      }),
-    );
     this.admin.on('GET', '/metrics', async (_request, response) => {
       const text = await this.metrics.text();
       response.writeHead(200, { 'content-type': this.metrics.registry.contentType });
@@ -308,6 +297,21 @@
     this.admin.on('GET', '/why', async (_request, response, url) => {
       sendJson(response, 200, this.log.find(url.searchParams.get('id') ?? ''));
     });
+    addOperatorHandlers(this.admin, this.createFleetReport());
+  }
+
+  private createFleetReport(): FleetReport {
+    const { identity, membership, configuration, log } = this;
+    return new FleetReport({
+      identity,
+      members: () => membership.table.all(),
+      services: () => membership.targets.services(),
+      targetsOf: (service) => membership.targets.all(service),
+      configuration: () => configuration.current,
+      limitsOf: (service) => configuration.limitsOf(service),
+      findLines: (id) => log.find(id),
+      restore: (target) => this.ejection.restore(target),
+    });
   }
 
   private async announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/daemon/Ejection.ts
+++ b/src/daemon/Ejection.ts
@@ -61,8 +61,6 @@
 
   private readonly flights = new WeakMap<ForwardRequest, Flight>();
 
-  private readonly reasons = new Map<TargetId, string>();
-
   private readonly reassigned = new Map<TargetId, number>();
 
   public constructor(private readonly settings: EjectionSettings) {
@@ -100,14 +98,9 @@
     this.task.announce(announcement);
   }
 
-  /** Why a target of this home is in its state, in one line. */
-  public explain(target: TargetId): string | undefined {
-    return this.reasons.get(target);
-  }
-
   /** An operator declares a target healthy; false if it is not here. */
-  public restore(target: string): boolean {
-    return this.task.restore(brandAs<TargetId>(target));
+  public restore(target: TargetId): boolean {
+    return this.task.restore(target);
   }
 
   /** Handler with which other homes read the summaries of a service. */
@@ -162,9 +155,6 @@
     home.setClosed(target, urgentStates.has(to));
     const isUrgent = urgentStates.has(to) || urgentStates.has(from);
     if (isUrgent) membership.announceNow();
-    const why =
-      reason === undefined || reason.cause === 'none' ? cause : `${cause}: ${reason.cause}`;
-    this.reasons.set(target, why);
     log.write({
       level: to === 'active' ? 'info' : 'warn',
       kind: 'ejection',
@@ -173,6 +163,8 @@
         step: 'home.ejection',
         target,
         service,
+        from,
+        to,
         cause,
         share,
         evidence: reason?.cause,
