--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -1,7 +1,9 @@
+import { configuration } from './scenarios/configuration.js';
 import { crest } from './scenarios/crest.js';
 import { headOfLine } from './scenarios/headOfLine.js';
 import { hedging } from './scenarios/hedging.js';
 import { loopback } from './scenarios/loopback.js';
+import { agreement, membership } from './scenarios/membership.js';
 import { operations } from './scenarios/operations.js';
 import { retries } from './scenarios/retries.js';
 import type { Scenario } from './Types.js';
@@ -14,4 +16,7 @@
   hedging,
   operations,
   loopback,
+  membership,
+  agreement,
+  configuration,
 ];
