--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { json } from 'node:stream/consumers';
+import { isLeft } from 'fp-ts/lib/Either.js';
 import {
   brandAs,
   createIncarnation,
@@ -9,30 +10,41 @@
   type Disposable,
   type LogSink,
   type RandomSource,
+  storeAdapters,
   type RequestId,
-  type ServiceName,
   type TargetAnnouncement,
-  type TargetEntry,
-  type TargetId,
 } from '../api/index.js';
-import { RouteTable } from '../common/routing/RouteTable.js';
+import { RetryBudget } from '../common/retry/RetryBudget.js';
 import { CrossRegionBudget } from '../common/selection/CrossRegionBudget.js';
 import { LoadTable } from '../common/selection/LoadTable.js';
 import { Selector } from '../common/selection/Selector.js';
 import { AdminServer } from './AdminServer.js';
+import { ConfigurationDistribution } from './ConfigurationDistribution.js';
+import { CountedStore } from './CountedStore.js';
 import { DecisionLog } from './DecisionLog.js';
-import { Forwarder, type RoutedRequest } from './Forwarder.js';
+import { Ejection } from './Ejection.js';
+import { FleetReport } from './FleetReport.js';
+import { Forwarder } from './Forwarder.js';
+import { GrpcPeerLink } from './GrpcPeerLink.js';
 import { HttpFront } from './HttpFront.js';
 import { LocalHome } from './LocalHome.js';
+import { Membership } from './Membership.js';
+import { OperationFront } from './OperationFront.js';
+import { Operations } from './Operations.js';
+import { addOperatorHandlers } from './operatorHandlers.js';
 import { PeerConnections } from './PeerConnections.js';
 import { PeerServer } from './PeerServer.js';
 import { RemoteHome } from './RemoteHome.js';
 import { RequestMetrics } from './RequestMetrics.js';
-import { sendJson } from './Responses.js';
+import { sendJson, sendText } from './Responses.js';
 import type { DaemonSettings } from './Settings.js';
-import type { Directory, ForwardAnswer, Home, Identity } from './Types.js';
+import type { Home, Identity } from './Types.js';
 
 const announcePath = '/.limpettrack/targets/';
+/** Milliseconds until a target that did not move to another home has lost its announcement here. */
+const handOverLimit = 4_000;
+/** Milliseconds to write what is recorded and give the key ranges up. */
+const operationStopLimit = 5_000;
 const randomRange = 0x1_0000_0000;
 
 /** What a daemon takes from its process. */
@@ -57,7 +69,11 @@
 
   private readonly log: DecisionLog;
 
-  private readonly metrics = new RequestMetrics();
+  private readonly metrics = new RequestMetrics(() => this.store.calls);
+
+  private readonly store: CountedStore;
+
+  private readonly configuration: ConfigurationDistribution;
 
   private readonly home: LocalHome;
 
@@ -71,11 +87,15 @@
 
   private readonly forwarder: Forwarder;
 
-  private readonly homes = new Map<string, Home>();
+  private readonly ejection: Ejection;
 
-  private readonly announced = new Map<TargetId, TargetEntry>();
+  private readonly operations: Operations;
+
+  private readonly operationFront: OperationFront;
+
+  private readonly homes = new Map<string, Home>();
 
-  private routes = new RouteTable([]);
+  private readonly membership: Membership;
 
   private requestCount = 0;
 
@@ -91,13 +111,42 @@
       address: settings.peer,
     };
     this.log = new DecisionLog(sink, settings.routeSample, random, () => clock.now());
-    this.home = this.disposables.add(new LocalHome(clock, () => 100));
+    const adapter = storeAdapters.get(settings.storeAdapter);
+    this.store = this.disposables.add(
+      new CountedStore(adapter.createStore(settings.store, settings.id)),
+    );
     this.connections = this.disposables.add(new PeerConnections());
-    this.peerServer = this.disposables.add(new PeerServer(this.home, {}));
-    this.admin = this.disposables.add(new AdminServer());
+    this.configuration = this.disposables.add(
+      new ConfigurationDistribution({
+        store: this.store,
+        connections: this.connections,
+        clock,
+        random,
+        log: this.log,
+      }),
+    );
+    this.home = this.disposables.add(
+      new LocalHome(clock, (service) => this.configuration.limitsOf(service).maxQueue),
+    );
+    this.membership = this.disposables.add(this.createMembership());
     this.forwarder = this.createForwarder();
+    this.ejection = this.disposables.add(this.createEjection());
+    this.operations = this.disposables.add(this.createOperations());
+    this.operationFront = new OperationFront(this.operations, clock, (request, signal) =>
+      this.forwarder.forward(request, signal),
+    );
+    this.peerServer = this.disposables.add(
+      new PeerServer(this.home, {
+        ...this.operations.handlers(),
+        ...this.ejection.handlers(),
+        ...this.membership.handlers(),
+        ...this.configuration.handlers(),
+      }),
+    );
+    this.admin = this.disposables.add(new AdminServer());
     this.front = this.disposables.add(this.createFront());
     this.addAdminHandlers();
+    this.disposables.add(this.membership.announcements.onGone(({ id }) => this.home.remove(id)));
   }
 
   /** Opens the sockets and returns their ports; throws if an address cannot be bound. */
@@ -106,19 +155,26 @@
     const peer = await this.peerServer.listen(settings.peer);
     const admin = await this.admin.listen(settings.admin);
     const callers = await this.front.listen(settings.callers);
+    this.membership.start();
+    this.configuration.start(this.membership);
+    this.operations.start();
     this.logLifecycle('serving');
     return { peer, admin, callers };
   }
 
-  /** Graceful shutdown: no request in flight is cut. */
+  /** Graceful shutdown: targets move to other homes, callers leave, and no request in flight is cut. */
   public async stop(): Promise<void> {
     this.logLifecycle('stopping');
     this.front.announceStop();
-    await new Promise<void>((resolve) => {
+    const notice = new Promise<void>((resolve) => {
       this.environment.clock.after(this.settings.notice, resolve);
     });
+    await Promise.all([this.membership.handOver(handOverLimit), notice]);
+    this.membership.leave();
     await this.front.drain();
+    await this.operations.stop(operationStopLimit);
     await this.peerServer.drain();
+    this.membership.end();
     this.logLifecycle('stopped');
     this.dispose();
   }
@@ -137,28 +193,71 @@
     });
   }
 
+  private createMembership(): Membership {
+    const { clock, random } = this.environment;
+    return new Membership({
+      identity: this.identity,
+      adminAddress: this.settings.admin,
+      contacts: this.settings.peers,
+      link: new GrpcPeerLink(this.connections),
+      clock,
+      random,
+      log: this.log,
+      revisions: this.configuration,
+    });
+  }
+
   private createForwarder(): Forwarder {
     const { clock, random } = this.environment;
-    const directory: Directory = {
-      candidates: (service: ServiceName) =>
-        [...this.announced.values()].filter((target) => target.service === service),
-      addressOf: () => undefined,
-    };
-    const crossRegion = new CrossRegionBudget(() => 1_000_000, clock);
+    const crossRegion = new CrossRegionBudget(
+      (service) => this.configuration.limitsOf(service).crossRegionRate,
+      clock,
+    );
     return new Forwarder({
       clock,
-      directory,
+      directory: this.membership,
       selector: new Selector(this.identity.location, random, { pathPenalty: () => 0, crossRegion }),
       loads: new LoadTable(clock),
-      retries: { recordRequest: () => {}, takeRetry: () => true },
+      retries: new RetryBudget((service) => this.configuration.limitsOf(service).retryShare, clock),
       log: this.log,
-      homeOf: (daemon) => this.homeOf(daemon, directory),
+      homeOf: (daemon) => this.homeOf(daemon),
+    });
+  }
+
+  private createEjection(): Ejection {
+    const { clock, random } = this.environment;
+    const { identity, store, log, home, membership, configuration, connections } = this;
+    return new Ejection({
+      identity,
+      clock,
+      random,
+      store,
+      log,
+      home,
+      membership,
+      configuration,
+      connections,
+    });
+  }
+
+  private createOperations(): Operations {
+    const { clock, random } = this.environment;
+    const { identity, store, log, membership, connections, forwarder } = this;
+    return new Operations({
+      identity,
+      store,
+      clock,
+      random,
+      log,
+      membership,
+      connections,
+      forwarder,
     });
   }
 
-  private homeOf(daemon: DaemonId, directory: Directory): Home {
+  private homeOf(daemon: DaemonId): Home {
     if (daemon === this.identity.id) return this.home;
-    const address = directory.addressOf(daemon) ?? '';
+    const address = this.membership.addressOf(daemon) ?? '';
     let home = this.homes.get(address);
     if (home === undefined) {
       home = new RemoteHome(address, this.connections);
@@ -171,12 +270,12 @@
     return new HttpFront({
       clock: this.environment.clock,
       log: this.log,
-      routes: () => this.routes,
+      routes: () => this.configuration.routes,
       forwarder: this.forwarder,
-      runOperation: (request, signal) => this.runOperation(request, signal),
-      internal: () => Promise.resolve(false),
+      runOperation: (request, signal) => this.operationFront.run(request, signal),
+      internal: (request, response, path) => this.operationFront.handle(request, response, path),
       checkLimits: () => {},
-      timeoutOf: (route) => route.timeout ?? 10_000,
+      timeoutOf: (route) => route.timeout ?? this.configuration.limitsOf(route.service).timeout,
       createId: () => this.createRequestId(),
       onFinished: (request) => this.metrics.record(request),
     });
@@ -188,10 +287,6 @@
     return brandAs<RequestId>(`${id}.${incarnation}.${this.requestCount.toString(36)}`);
   }
 
-  private runOperation(request: RoutedRequest, signal: AbortSignal): Promise<ForwardAnswer> {
-    return this.forwarder.forward(request, signal);
-  }
-
   private addAdminHandlers(): void {
     this.admin.on('PUT', announcePath, (request, response) => this.announce(request, response));
     this.admin.on('GET', '/metrics', async (_request, response) => {
@@ -202,26 +297,36 @@
     this.admin.on('GET', '/why', async (_request, response, url) => {
       sendJson(response, 200, this.log.find(url.searchParams.get('id') ?? ''));
     });
+    addOperatorHandlers(this.admin, this.createFleetReport());
+  }
+
+  private createFleetReport(): FleetReport {
+    const { identity, membership, configuration, log } = this;
+    return new FleetReport({
+      identity,
+      members: () => membership.table.all(),
+      services: () => membership.targets.services(),
+      targetsOf: (service) => membership.targets.all(service),
+      configuration: () => configuration.current,
+      limitsOf: (service) => configuration.limitsOf(service),
+      findLines: (id) => log.find(id),
+      restore: (target) => this.ejection.restore(target),
+    });
   }
 
   private async announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const announcement = (await json(request)) as TargetAnnouncement;
+    if (!this.ejection.isWelcome(announcement.id)) {
+      sendText(response, 409, 'announce to another home: this one does not reach the target');
+      return;
+    }
+    const taken = this.membership.announcements.announce(announcement);
+    if (isLeft(taken)) {
+      sendText(response, 409, taken.left);
+      return;
+    }
     this.home.announce(announcement);
-    this.announced.set(announcement.id, {
-      ...announcement,
-      home: this.identity.id,
-      location: this.identity.location,
-      status: 'active',
-      share: 1,
-    });
-    this.routes = new RouteTable(
-      [...this.announced.values()].map(({ service }) => ({
-        name: service,
-        service,
-        path: `/${service}`,
-        workClass: 'interactive' as const,
-      })),
-    );
+    this.ejection.announce(announcement);
     sendJson(response, 200, {});
   }
 }
--- a/src/daemon/LocalHome.ts
+++ b/src/daemon/LocalHome.ts
@@ -47,6 +47,8 @@
 export class LocalHome implements Home, Disposable {
   private readonly targets = new Map<TargetId, HostedTarget>();
 
+  private readonly closed = new Set<TargetId>();
+
   private readonly outcomeEmitter = new Emitter<OutcomeEvent>();
 
   private readonly startEmitter = new Emitter<ForwardRequest>();
@@ -68,7 +70,11 @@
   /** Adds a target or updates it; a new incarnation or address gets new connections and a new queue. */
   public announce(announcement: TargetAnnouncement): void {
     const known = this.targets.get(announcement.id);
+    // A target that takes back its drain needs a new gate, since a draining one stays closed.
+    const isReopened =
+      known?.announcement.state === 'draining' && announcement.state !== 'draining';
     const isSame =
+      !isReopened &&
       known?.announcement.incarnation === announcement.incarnation &&
       known.announcement.address === announcement.address &&
       known.announcement.slots === announcement.slots;
@@ -81,10 +87,24 @@
     if (announcement.state === 'draining') this.targets.get(announcement.id)?.gate.drain();
   }
 
+  /** Applies changed limits to the gates. */
+  public refreshLimits(): void {
+    this.targets.forEach(({ announcement: { slots, service }, gate }) => {
+      gate.configure({ slots, maxQueue: this.maxQueueOf(service) });
+    });
+  }
+
+  /** Closes a target that is ejected, held or draining, for entries that do not know it yet, or opens it again. */
+  public setClosed(id: TargetId, isClosed: boolean): void {
+    if (isClosed) this.closed.add(id);
+    else this.closed.delete(id);
+  }
+
   /** Removes a target that has left; its waiting requests are refused as not run. */
   public remove(id: TargetId): void {
     this.targets.get(id)?.dispose();
     this.targets.delete(id);
+    this.closed.delete(id);
   }
 
   /** Present load of a target; undefined if it is not hosted here. */
@@ -122,6 +142,10 @@
       const peer = request.target;
       throw new NotRunError('not-home', 'the target is not here', { step: 'home.find', peer });
     }
+    if (this.closed.has(request.target)) {
+      const peer = request.target;
+      throw new NotRunError('draining', 'the target takes no work', { step: 'home.find', peer });
+    }
     return target;
   }
 
