Publish target states as metrics and prefer homes with a working path

Operators could see the state of a target only in the log. The hop to a home feeds the path tracker of the entry, whose preference becomes a penalty in the choice of a target; an answer or a refusal of the other side shows that the path works.

--- a/src/common/health/HealthTracker.test.ts
+++ b/src/common/health/HealthTracker.test.ts
@@ -105,6 +105,11 @@
       name: 'timeouts of impatient callers',
       phase: { seconds: 60, badShare: 0.5, bad: 'timeout', badLatency: 10 },
     },
+    {
+      name: 'a slowdown of all peers whose long requests have not ended',
+      phase: { seconds: 60, slowness: 10, longShare: 0.9 },
+      peers: { ...slowPeers, routes: new Map([['short', 200]]) },
+    },
     { name: 'a slowdown of all peers', phase: { seconds: 60, slowness: 10 }, peers: slowPeers },
     {
       name: 'errors of all peers',
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -14,6 +14,7 @@
   type RequestId,
   type TargetAnnouncement,
 } from '../api/index.js';
+import { PathTracker } from '../common/health/PathTracker.js';
 import { RetryBudget } from '../common/retry/RetryBudget.js';
 import { CrossRegionBudget } from '../common/selection/CrossRegionBudget.js';
 import { LoadTable } from '../common/selection/LoadTable.js';
@@ -32,6 +33,7 @@
 import { OperationFront } from './OperationFront.js';
 import { Operations } from './Operations.js';
 import { addOperatorHandlers } from './operatorHandlers.js';
+import { ObservedHome } from './ObservedHome.js';
 import { PeerConnections } from './PeerConnections.js';
 import { PeerServer } from './PeerServer.js';
 import { RemoteHome } from './RemoteHome.js';
@@ -45,6 +47,8 @@
 const handOverLimit = 4_000;
 /** Milliseconds to write what is recorded and give the key ranges up. */
 const operationStopLimit = 5_000;
+/** Milliseconds added at half preference; at the lowest, 2%, it is about a second. */
+const pathCost = 20;
 const randomRange = 0x1_0000_0000;
 
 /** What a daemon takes from its process. */
@@ -95,6 +99,8 @@
 
   private readonly homes = new Map<string, Home>();
 
+  private readonly paths = new PathTracker();
+
   private readonly membership: Membership;
 
   private requestCount = 0;
@@ -216,7 +222,10 @@
     return new Forwarder({
       clock,
       directory: this.membership,
-      selector: new Selector(this.identity.location, random, { pathPenalty: () => 0, crossRegion }),
+      selector: new Selector(this.identity.location, random, {
+        pathPenalty: (daemon) => this.pathPenalty(daemon),
+        crossRegion,
+      }),
       loads: new LoadTable(clock),
       retries: new RetryBudget((service) => this.configuration.limitsOf(service).retryShare, clock),
       log: this.log,
@@ -237,6 +246,7 @@
       membership,
       configuration,
       connections,
+      registry: this.metrics.registry,
     });
   }
 
@@ -255,12 +265,22 @@
     });
   }
 
+  /** Milliseconds that a doubtful path adds to the expected wait. */
+  private pathPenalty(daemon: DaemonId): number {
+    const preference = this.paths.preference(daemon, this.environment.clock.elapsed());
+    return pathCost * (1 / preference - 1);
+  }
+
   private homeOf(daemon: DaemonId): Home {
     if (daemon === this.identity.id) return this.home;
     const address = this.membership.addressOf(daemon) ?? '';
     let home = this.homes.get(address);
     if (home === undefined) {
-      home = new RemoteHome(address, this.connections);
+      home = new ObservedHome(new RemoteHome(address, this.connections), {
+        daemon,
+        paths: this.paths,
+        clock: this.environment.clock,
+      });
       this.homes.set(address, home);
     }
     return home;
--- a/src/daemon/Ejection.ts
+++ b/src/daemon/Ejection.ts
@@ -1,3 +1,4 @@
+import type { Registry } from 'prom-client';
 import {
   brandAs,
   DisposableStore,
@@ -16,9 +17,11 @@
 } from '../api/index.js';
 import { EjectionTask } from '../common/ejection/EjectionTask.js';
 import { SecondOpinion } from '../common/ejection/SecondOpinion.js';
+import { refusalMessage, transitionMessage } from '../common/ejection/StateCatalogue.js';
 import type { EjectionEnvironment, Refusal, Transition } from '../common/ejection/Types.js';
 import type { Flight, TargetSummary } from '../common/health/index.js';
 import type { ConfigurationDistribution } from './ConfigurationDistribution.js';
+import { EjectionMetrics } from './EjectionMetrics.js';
 import type { PeerHandlers } from './generated/limpettrack/Peer.js';
 import type { ProbeResult__Output as ProbeOutput } from './generated/limpettrack/ProbeResult.js';
 import type { SummaryResponse__Output as SummaryOutput } from './generated/limpettrack/SummaryResponse.js';
@@ -49,6 +52,8 @@
   readonly membership: Membership;
   readonly configuration: ConfigurationDistribution;
   readonly connections: PeerConnections;
+  /** Receives the metrics of the target states. */
+  readonly registry: Registry;
 }
 
 /** Judges the targets of this home and publishes their states. */
@@ -59,6 +64,8 @@
 
   private readonly opinion: SecondOpinion;
 
+  private readonly metrics: EjectionMetrics;
+
   private readonly flights = new WeakMap<ForwardRequest, Flight>();
 
   private readonly reasons = new Map<TargetId, string>();
@@ -84,6 +91,7 @@
         environment: this.createEnvironment(),
       }),
     );
+    this.metrics = new EjectionMetrics(settings.registry, () => this.task.standings());
     this.subscribe();
   }
 
@@ -157,6 +165,7 @@
 
   private publish(transition: Transition): void {
     const { target, service, from, to, cause, share, reason } = transition;
+    this.metrics.recordTransition(transition);
     const { log, home, membership } = this.settings;
     if (to !== 'gone') membership.announcements.assign(target, { status: to, share });
     home.setClosed(target, urgentStates.has(to));
@@ -168,11 +177,13 @@
     log.write({
       level: to === 'active' ? 'info' : 'warn',
       kind: 'ejection',
-      message: `${from} to ${to}`,
+      message: transitionMessage,
       fields: {
         step: 'home.ejection',
         target,
         service,
+        from,
+        to,
         cause,
         share,
         evidence: reason?.cause,
@@ -185,12 +196,14 @@
     });
   }
 
-  private logRefusal({ target, service, refusal, capacity, floor }: Refusal): void {
+  private logRefusal(event: Refusal): void {
+    const { target, service, refusal, capacity, floor } = event;
+    this.metrics.recordRefusal(event);
     this.settings.log.write({
       level: 'warn',
       kind: 'ejection',
-      message: 'a sick target stays in service',
-      fields: { step: 'home.ejection', target, service, reason: refusal, capacity, floor },
+      message: refusalMessage,
+      fields: { step: 'home.ejection', target, service, refusal, capacity, floor },
     });
   }
 
