--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -1,5 +1,7 @@
 import { configuration } from './scenarios/configuration.js';
 import { crest } from './scenarios/crest.js';
+import { detection } from './scenarios/detection.js';
+import { falseEjection } from './scenarios/falseEjection.js';
 import { headOfLine } from './scenarios/headOfLine.js';
 import { hedging } from './scenarios/hedging.js';
 import { loopback } from './scenarios/loopback.js';
@@ -19,4 +21,6 @@
   membership,
   agreement,
   configuration,
+  detection,
+  falseEjection,
 ];
