Wire quotas, the parts of the load and failure evidence into the daemon

Answers carry the load of short and long work. Paused retries and cross-region traffic have no budget.

--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -12,6 +12,7 @@
   type RandomSource,
   storeAdapters,
   type RequestId,
+  type ServiceName,
   type TargetAnnouncement,
 } from '../api/index.js';
 import { RetryBudget } from '../common/retry/RetryBudget.js';
@@ -34,6 +35,7 @@
 import { addOperatorHandlers } from './operatorHandlers.js';
 import { PeerConnections } from './PeerConnections.js';
 import { PeerServer } from './PeerServer.js';
+import { Quotas } from './Quotas.js';
 import { RemoteHome } from './RemoteHome.js';
 import { RequestMetrics } from './RequestMetrics.js';
 import { sendJson, sendText } from './Responses.js';
@@ -97,6 +99,8 @@
 
   private readonly membership: Membership;
 
+  private readonly quotas: Quotas;
+
   private requestCount = 0;
 
   public constructor(
@@ -129,6 +133,7 @@
       new LocalHome(clock, (service) => this.configuration.limitsOf(service).maxQueue),
     );
     this.membership = this.disposables.add(this.createMembership());
+    this.quotas = this.disposables.add(this.createQuotas());
     this.forwarder = this.createForwarder();
     this.ejection = this.disposables.add(this.createEjection());
     this.operations = this.disposables.add(this.createOperations());
@@ -139,6 +144,7 @@
       new PeerServer(this.home, {
         ...this.operations.handlers(),
         ...this.ejection.handlers(),
+        ...this.quotas.handlers(),
         ...this.membership.handlers(),
         ...this.configuration.handlers(),
       }),
@@ -207,10 +213,24 @@
     });
   }
 
+  private createQuotas(): Quotas {
+    return new Quotas({
+      id: this.identity.id,
+      table: this.membership.table,
+      connections: this.connections,
+      configuration: () => this.configuration.current,
+      limitsOf: (service) => this.configuration.limitsOf(service),
+      clock: this.environment.clock,
+    });
+  }
+
   private createForwarder(): Forwarder {
     const { clock, random } = this.environment;
     const crossRegion = new CrossRegionBudget(
-      (service) => this.configuration.limitsOf(service).crossRegionRate,
+      (service) =>
+        this.configuration.isPaused('cross-region', service)
+          ? 0
+          : this.configuration.limitsOf(service).crossRegionRate,
       clock,
     );
     return new Forwarder({
@@ -218,7 +238,7 @@
       directory: this.membership,
       selector: new Selector(this.identity.location, random, { pathPenalty: () => 0, crossRegion }),
       loads: new LoadTable(clock),
-      retries: new RetryBudget((service) => this.configuration.limitsOf(service).retryShare, clock),
+      retries: new RetryBudget((service) => this.retryShareOf(service), clock),
       log: this.log,
       homeOf: (daemon) => this.homeOf(daemon),
     });
@@ -255,6 +275,11 @@
     });
   }
 
+  private retryShareOf(service: ServiceName): number {
+    if (this.configuration.isPaused('retries', service)) return 0;
+    return this.configuration.limitsOf(service).retryShare;
+  }
+
   private homeOf(daemon: DaemonId): Home {
     if (daemon === this.identity.id) return this.home;
     const address = this.membership.addressOf(daemon) ?? '';
@@ -274,7 +299,7 @@
       forwarder: this.forwarder,
       runOperation: (request, signal) => this.operationFront.run(request, signal),
       internal: (request, response, path) => this.operationFront.handle(request, response, path),
-      checkLimits: () => {},
+      checkLimits: (context) => this.quotas.check(context),
       timeoutOf: (route) => route.timeout ?? this.configuration.limitsOf(route.service).timeout,
       createId: () => this.createRequestId(),
       onFinished: (request) => this.metrics.record(request),
--- a/src/daemon/Forwarder.ts
+++ b/src/daemon/Forwarder.ts
@@ -150,7 +150,7 @@
     const cancel = (): void => abort.abort();
     const timer = this.settings.clock.after(timeout, cancel);
     signal.addEventListener('abort', cancel, { once: true });
-    loads.sent(target.id);
+    loads.sent(target.id, request.context.route);
     try {
       const answer = await this.settings.homeOf(target.home).forward(
         {
@@ -165,15 +165,18 @@
         abort.signal,
       );
       answer.body.once('close', () => {
-        loads.ended(target.id, answer.load);
+        loads.ended(target.id, answer.load, request.context.route);
         signal.removeEventListener('abort', cancel);
       });
+      this.recordOutcome(target.id, answer.status);
       this.logChoice(request, choice, `answered ${answer.status}`);
       return { answer, target: target.id };
     } catch (cause) {
-      loads.ended(target.id);
+      loads.ended(target.id, undefined, request.context.route);
       signal.removeEventListener('abort', cancel);
       const error = toFleetError(cause);
+      // A refusal says nothing of the target, and a cancelled attempt may only have waited.
+      if (!(error instanceof NotRunError) && !abort.signal.aborted) loads.failed(target.id);
       this.logChoice(request, choice, error.message);
       return { error, target: target.id };
     } finally {
@@ -181,6 +184,11 @@
     }
   }
 
+  private recordOutcome(target: TargetId, status: number): void {
+    if (status >= firstServerError) this.settings.loads.failed(target);
+    else this.settings.loads.succeeded(target);
+  }
+
   private logChoice(request: RoutedRequest, choice: Choice, result: string): void {
     const { id, service, workClass, route } = request.context;
     this.settings.log.write({
--- a/src/daemon/HttpFront.ts
+++ b/src/daemon/HttpFront.ts
@@ -72,8 +72,8 @@
   readonly forwarder: Pick<Forwarder, 'forward'>;
   readonly runOperation: OperationRunner;
   readonly internal: InternalHandler;
-  /** Throws `NotRunError` if a limit of the service or the account is reached. */
-  readonly checkLimits: (context: RequestContext) => void;
+  /** Throws `NotRunError` if a limit of the service, the class or the account is reached. */
+  readonly checkLimits: (context: RequestContext) => Promise<void>;
   /** Timeout in milliseconds for a route. */
   readonly timeoutOf: (route: RouteDocument) => number;
   readonly createId: () => RequestId;
@@ -220,7 +220,7 @@
     response.once('close', () => abort.abort());
     let failure: unknown;
     try {
-      this.settings.checkLimits(context);
+      await this.settings.checkLimits(context);
       const routed = await this.createRouted(request, headers, checked, context);
       await this.answer(response, routed, abort.signal);
     } catch (error) {
--- a/src/daemon/LocalHome.ts
+++ b/src/daemon/LocalHome.ts
@@ -204,7 +204,8 @@
       const cut: OutcomeKind = body.destroyed && !answer.body.errored ? 'cancelled' : 'truncated';
       this.finish(request, target, permit, error ? cut : whole, sent, latency);
     });
-    return { status: answer.status, headers: answer.headers, load: target.gate.load, body };
+    const load = target.gate.loadFor(permit);
+    return { status: answer.status, headers: answer.headers, load, body };
   }
 
   private finish(
--- a/src/daemon/PeerMessages.ts
+++ b/src/daemon/PeerMessages.ts
@@ -91,6 +91,8 @@
 /** Load of a target from a message; an absent one reads as zero. */
 export function decodeLoad(load: LoadOutput | null | undefined): TargetLoad {
   if (load === null || load === undefined) return noLoad;
-  const { queued, running, slots, serviceTime } = load;
-  return { queued, running, slots, serviceTime };
+  const { queued, running, slots, serviceTime, isLong } = load;
+  // A peer that does not tell the parts leaves them out.
+  const parts = { short: load.short ?? undefined, long: load.long ?? undefined };
+  return { queued, running, slots, serviceTime, isLong, ...parts };
 }
