--- a/src/bench/scenarios/decisionCost.ts
+++ b/src/bench/scenarios/decisionCost.ts
@@ -118,7 +118,7 @@
 
 const decisions: readonly {
   readonly name: string;
-  readonly create: () => (index: number) => void;
+  readonly create: () => Action | Promise<Action>;
 }[] = [
   { name: 'choice among 8 targets', create: () => createSelection(8) },
   { name: 'choice among 50 targets', create: () => createSelection(50) },
