--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -1,5 +1,6 @@
 import { configuration } from './scenarios/configuration.js';
 import { crest } from './scenarios/crest.js';
+import { decisionCost } from './scenarios/decisionCost.js';
 import { detection } from './scenarios/detection.js';
 import { falseEjection } from './scenarios/falseEjection.js';
 import { headOfLine } from './scenarios/headOfLine.js';
@@ -7,6 +8,7 @@
 import { loopback } from './scenarios/loopback.js';
 import { agreement, membership } from './scenarios/membership.js';
 import { operations } from './scenarios/operations.js';
+import { quotas } from './scenarios/quotas.js';
 import { retries } from './scenarios/retries.js';
 import type { Scenario } from './Types.js';
 
@@ -23,4 +25,6 @@
   configuration,
   detection,
   falseEjection,
+  quotas,
+  decisionCost,
 ];
