--- a/src/daemon/Membership.ts
+++ b/src/daemon/Membership.ts
@@ -4,6 +4,7 @@
   type Clock,
   type DaemonId,
   type Disposable,
+  type Incarnation,
   type LogSink,
   type RandomSource,
   type ServiceName,
@@ -87,11 +88,23 @@
         log,
       }),
     );
+    this.disposables.add(
+      table.onSuperseded(({ incarnation }) => this.reportSuperseded(incarnation)),
+    );
     this.disposables.add(
       this.announcements.onChange(() => table.updateSelf({ targets: this.announcements.list() })),
     );
   }
 
+  private reportSuperseded(incarnation: Incarnation): void {
+    this.settings.log.write({
+      level: 'error',
+      kind: 'membership',
+      message: 'a later run with the id of this daemon exists; peers ignore this one',
+      fields: { step: 'membership.merge', incarnation },
+    });
+  }
+
   /** Starts gossip and failure detection. */
   public start(): void {
     this.gossip.start();
