--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -1,9 +1,14 @@
 import { configuration } from './scenarios/configuration.js';
 import { crest } from './scenarios/crest.js';
+import { decisionCost } from './scenarios/decisionCost.js';
+import { detection } from './scenarios/detection.js';
+import { falseEjection } from './scenarios/falseEjection.js';
 import { headOfLine } from './scenarios/headOfLine.js';
 import { hedging } from './scenarios/hedging.js';
+import { loopback } from './scenarios/loopback.js';
 import { agreement, membership } from './scenarios/membership.js';
 import { operations } from './scenarios/operations.js';
+import { quotas } from './scenarios/quotas.js';
 import { retries } from './scenarios/retries.js';
 import type { Scenario } from './Types.js';
 
@@ -14,7 +19,12 @@
   retries,
   hedging,
   operations,
+  loopback,
   membership,
   agreement,
   configuration,
+  detection,
+  falseEjection,
+  quotas,
+  decisionCost,
 ];
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -12,8 +12,10 @@
   type RandomSource,
   storeAdapters,
   type RequestId,
+  type ServiceName,
   type TargetAnnouncement,
 } from '../api/index.js';
+import { PathTracker } from '../common/health/PathTracker.js';
 import { RetryBudget } from '../common/retry/RetryBudget.js';
 import { CrossRegionBudget } from '../common/selection/CrossRegionBudget.js';
 import { LoadTable } from '../common/selection/LoadTable.js';
@@ -32,8 +34,10 @@
 import { OperationFront } from './OperationFront.js';
 import { Operations } from './Operations.js';
 import { addOperatorHandlers } from './operatorHandlers.js';
+import { ObservedHome } from './ObservedHome.js';
 import { PeerConnections } from './PeerConnections.js';
 import { PeerServer } from './PeerServer.js';
+import { Quotas } from './Quotas.js';
 import { RemoteHome } from './RemoteHome.js';
 import { RequestMetrics } from './RequestMetrics.js';
 import { sendJson, sendText } from './Responses.js';
@@ -45,6 +49,8 @@
 const handOverLimit = 4_000;
 /** Milliseconds to write what is recorded and give the key ranges up. */
 const operationStopLimit = 5_000;
+/** Milliseconds added at half preference; at the lowest, 2%, it is about a second. */
+const pathCost = 20;
 const randomRange = 0x1_0000_0000;
 
 /** What a daemon takes from its process. */
@@ -95,8 +101,12 @@
 
   private readonly homes = new Map<string, Home>();
 
+  private readonly paths = new PathTracker();
+
   private readonly membership: Membership;
 
+  private readonly quotas: Quotas;
+
   private requestCount = 0;
 
   public constructor(
@@ -129,6 +139,7 @@
       new LocalHome(clock, (service) => this.configuration.limitsOf(service).maxQueue),
     );
     this.membership = this.disposables.add(this.createMembership());
+    this.quotas = this.disposables.add(this.createQuotas());
     this.forwarder = this.createForwarder();
     this.ejection = this.disposables.add(this.createEjection());
     this.operations = this.disposables.add(this.createOperations());
@@ -139,6 +150,7 @@
       new PeerServer(this.home, {
         ...this.operations.handlers(),
         ...this.ejection.handlers(),
+        ...this.quotas.handlers(),
         ...this.membership.handlers(),
         ...this.configuration.handlers(),
       }),
@@ -207,18 +219,35 @@
     });
   }
 
+  private createQuotas(): Quotas {
+    return new Quotas({
+      id: this.identity.id,
+      table: this.membership.table,
+      connections: this.connections,
+      configuration: () => this.configuration.current,
+      limitsOf: (service) => this.configuration.limitsOf(service),
+      clock: this.environment.clock,
+    });
+  }
+
   private createForwarder(): Forwarder {
     const { clock, random } = this.environment;
     const crossRegion = new CrossRegionBudget(
-      (service) => this.configuration.limitsOf(service).crossRegionRate,
+      (service) =>
+        this.configuration.isPaused('cross-region', service)
+          ? 0
+          : this.configuration.limitsOf(service).crossRegionRate,
       clock,
     );
     return new Forwarder({
       clock,
       directory: this.membership,
-      selector: new Selector(this.identity.location, random, { pathPenalty: () => 0, crossRegion }),
+      selector: new Selector(this.identity.location, random, {
+        pathPenalty: (daemon) => this.pathPenalty(daemon),
+        crossRegion,
+      }),
       loads: new LoadTable(clock),
-      retries: new RetryBudget((service) => this.configuration.limitsOf(service).retryShare, clock),
+      retries: new RetryBudget((service) => this.retryShareOf(service), clock),
       log: this.log,
       homeOf: (daemon) => this.homeOf(daemon),
     });
@@ -237,6 +266,7 @@
       membership,
       configuration,
       connections,
+      registry: this.metrics.registry,
     });
   }
 
@@ -255,12 +285,27 @@
     });
   }
 
+  /** Milliseconds that a doubtful path adds to the expected wait. */
+  private pathPenalty(daemon: DaemonId): number {
+    const preference = this.paths.preference(daemon, this.environment.clock.elapsed());
+    return pathCost * (1 / preference - 1);
+  }
+
+  private retryShareOf(service: ServiceName): number {
+    if (this.configuration.isPaused('retries', service)) return 0;
+    return this.configuration.limitsOf(service).retryShare;
+  }
+
   private homeOf(daemon: DaemonId): Home {
     if (daemon === this.identity.id) return this.home;
     const address = this.membership.addressOf(daemon) ?? '';
     let home = this.homes.get(address);
     if (home === undefined) {
-      home = new RemoteHome(address, this.connections);
+      home = new ObservedHome(new RemoteHome(address, this.connections), {
+        daemon,
+        paths: this.paths,
+        clock: this.environment.clock,
+      });
       this.homes.set(address, home);
     }
     return home;
@@ -274,7 +319,7 @@
       forwarder: this.forwarder,
       runOperation: (request, signal) => this.operationFront.run(request, signal),
       internal: (request, response, path) => this.operationFront.handle(request, response, path),
-      checkLimits: () => {},
+      checkLimits: (context) => this.quotas.check(context),
       timeoutOf: (route) => route.timeout ?? this.configuration.limitsOf(route.service).timeout,
       createId: () => this.createRequestId(),
       onFinished: (request) => this.metrics.record(request),
