--- /dev/null
+++ b/src/common/admission/CostModel.test.ts
@@ -0,0 +1,46 @@
+import { expect } from 'chai';
+import { CostModel } from './CostModel.js';
+
+function recordAll(cost: CostModel, route: string, count: number, time: number): void {
+  for (let index = 0; index < count; index += 1) cost.record(route, time);
+}
+
+describe('CostModel', () => {
+  const classes = [
+    { name: 'counts an unknown route as short', records: [], isLong: false },
+    { name: 'needs three samples', records: [[2, 500] as const], isLong: false },
+    { name: 'learns that a route is long', records: [[6, 500] as const], isLong: true },
+    {
+      name: 'learns that a long route has become short',
+      records: [[6, 500] as const, [60, 10] as const],
+      isLong: false,
+    },
+    {
+      name: 'keeps the class at four times the median',
+      records: [[6, 40] as const],
+      isLong: false,
+    },
+  ];
+  classes.forEach(({ name, records, isLong }) => {
+    it(`${name}, or short and long work share one fate`, () => {
+      const cost = new CostModel();
+      recordAll(cost, 'listing', 100, 10);
+      records.forEach(([count, time]) => recordAll(cost, 'download', count, time));
+      expect(cost.isLong('download')).to.equal(isLong);
+    });
+  });
+
+  it('moves little by one straggler, or one slow run refuses work that fits', () => {
+    const cost = new CostModel();
+    recordAll(cost, 'listing', 100, 10);
+    cost.record('listing', 10_000);
+    expect(cost.expected('listing')).to.be.below(20);
+  });
+
+  it('follows a lasting change of the cost', () => {
+    const cost = new CostModel();
+    recordAll(cost, 'listing', 100, 10);
+    recordAll(cost, 'listing', 100, 100);
+    expect(cost.expected('listing')).to.be.within(90, 101);
+  });
+});
--- a/src/common/admission/Gate.test.ts
+++ b/src/common/admission/Gate.test.ts
@@ -80,6 +80,16 @@
     expect(gate.load).to.include({ running: 1, queued: 1 });
   });
 
+  it('counts the release of long work once, or long work takes the slot of short work', () => {
+    const { log, submit, release } = createBench({ slots: 3 });
+    submit('s');
+    ['l1', 'l2', 'l3', 'l4'].forEach((id) => submit(`${id} bulk long 60000`));
+    release('l1');
+    release('l1');
+    release('s');
+    expect(log.started).to.deep.equal(['s', 'l1', 'l2', 'l3']);
+  });
+
   const refusals = [
     {
       name: 'refuses at once what cannot end before its deadline',
@@ -174,6 +184,7 @@
     submit('b interactive short 9000');
     gate.drain(500);
     submit('c');
+    expect(log.refused).to.deep.equal(['c draining']);
     clock.advance(600);
     release('a');
     expect(log.refused).to.deep.equal(['c draining', 'b draining']);
--- a/test/Fleet.ts
+++ b/test/Fleet.ts
@@ -92,11 +92,11 @@
   }
 
   /** Starts daemons that know each other and waits until the configuration is in force at all. */
-  public async start(count: number): Promise<void> {
+  public async start(count: number, content = lotsContent): Promise<void> {
     const store = new MemoryStore(this.backend, 'operator');
     const editor = new StoreConfigurationEditor(store, sha256, () => new Date());
     const base = await editor.read();
-    await editor.change(base, lotsContent, { author: 'test', summary: 'start' });
+    await editor.change(base, content, { author: 'test', summary: 'start' });
     const peers = (await findFreePorts(count)).map((port) => `127.0.0.1:${port}`);
     for (const [index, peer] of peers.entries()) {
       await this.startDaemon(`d${index + 1}`, peer, peers);
