--- a/src/daemon/CountedStore.ts
+++ b/src/daemon/CountedStore.ts
@@ -11,19 +11,12 @@
 /** Kinds of calls that the platform counts. */
 export type StoreCall = 'read' | 'write' | 'lease' | 'watch';
 
-/** Store that counts its calls and knows whether the last one was answered. */
+/** Store that counts its calls. */
 export class CountedStore implements Store {
   private readonly counts: Record<StoreCall, number> = { read: 0, write: 0, lease: 0, watch: 0 };
 
-  private lastCall: 'answers' | 'away' | 'unknown' = 'unknown';
-
   public constructor(private readonly store: Store) {}
 
-  /** Whether the store answered the last call. */
-  public get state(): 'answers' | 'away' | 'unknown' {
-    return this.lastCall;
-  }
-
   /** Calls so far by kind. */
   public get calls(): Readonly<Record<StoreCall, number>> {
     return this.counts;
@@ -65,15 +58,8 @@
     this.store.dispose();
   }
 
-  private async count<Result>(kind: StoreCall, call: Promise<Result>): Promise<Result> {
+  private count<Result>(kind: StoreCall, call: Promise<Result>): Promise<Result> {
     this.counts[kind] += 1;
-    try {
-      const result = await call;
-      this.lastCall = 'answers';
-      return result;
-    } catch (error) {
-      this.lastCall = 'away';
-      throw error;
-    }
+    return call;
   }
 }
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -15,6 +15,7 @@
   type ServiceName,
   type TargetAnnouncement,
 } from '../api/index.js';
+import { PathTracker } from '../common/health/PathTracker.js';
 import { RetryBudget } from '../common/retry/RetryBudget.js';
 import { CrossRegionBudget } from '../common/selection/CrossRegionBudget.js';
 import { LoadTable } from '../common/selection/LoadTable.js';
@@ -33,6 +34,7 @@
 import { OperationFront } from './OperationFront.js';
 import { Operations } from './Operations.js';
 import { addOperatorHandlers } from './operatorHandlers.js';
+import { ObservedHome } from './ObservedHome.js';
 import { PeerConnections } from './PeerConnections.js';
 import { PeerServer } from './PeerServer.js';
 import { Quotas } from './Quotas.js';
@@ -47,6 +49,8 @@
 const handOverLimit = 4_000;
 /** Milliseconds to write what is recorded and give the key ranges up. */
 const operationStopLimit = 5_000;
+/** Milliseconds added at half preference; at the lowest, 2%, it is about a second. */
+const pathCost = 20;
 const randomRange = 0x1_0000_0000;
 
 /** What a daemon takes from its process. */
@@ -97,6 +101,8 @@
 
   private readonly homes = new Map<string, Home>();
 
+  private readonly paths = new PathTracker();
+
   private readonly membership: Membership;
 
   private readonly quotas: Quotas;
@@ -236,7 +242,10 @@
     return new Forwarder({
       clock,
       directory: this.membership,
-      selector: new Selector(this.identity.location, random, { pathPenalty: () => 0, crossRegion }),
+      selector: new Selector(this.identity.location, random, {
+        pathPenalty: (daemon) => this.pathPenalty(daemon),
+        crossRegion,
+      }),
       loads: new LoadTable(clock),
       retries: new RetryBudget((service) => this.retryShareOf(service), clock),
       log: this.log,
@@ -257,6 +266,7 @@
       membership,
       configuration,
       connections,
+      registry: this.metrics.registry,
     });
   }
 
@@ -275,6 +285,12 @@
     });
   }
 
+  /** Milliseconds that a doubtful path adds to the expected wait. */
+  private pathPenalty(daemon: DaemonId): number {
+    const preference = this.paths.preference(daemon, this.environment.clock.elapsed());
+    return pathCost * (1 / preference - 1);
+  }
+
   private retryShareOf(service: ServiceName): number {
     if (this.configuration.isPaused('retries', service)) return 0;
     return this.configuration.limitsOf(service).retryShare;
@@ -285,7 +301,11 @@
     const address = this.membership.addressOf(daemon) ?? '';
     let home = this.homes.get(address);
     if (home === undefined) {
-      home = new RemoteHome(address, this.connections);
+      home = new ObservedHome(new RemoteHome(address, this.connections), {
+        daemon,
+        paths: this.paths,
+        clock: this.environment.clock,
+      });
       this.homes.set(address, home);
     }
     return home;
@@ -314,17 +334,6 @@
 
   private addAdminHandlers(): void {
     this.admin.on('PUT', announcePath, (request, response) => this.announce(request, response));
-    addOperatorHandlers(
-      this.admin,
-      new FleetReport({
-        identity: this.identity,
-        membership: this.membership,
-        configuration: this.configuration,
-        storeState: () => this.store.state,
-        explain: ({ id }) => this.ejection.explain(id),
-        restore: (target) => this.ejection.restore(target),
-      }),
-    );
     this.admin.on('GET', '/metrics', async (_request, response) => {
       const text = await this.metrics.text();
       response.writeHead(200, { 'content-type': this.metrics.registry.contentType });
@@ -333,6 +342,21 @@
     this.admin.on('GET', '/why', async (_request, response, url) => {
       sendJson(response, 200, this.log.find(url.searchParams.get('id') ?? ''));
     });
+    addOperatorHandlers(this.admin, this.createFleetReport());
+  }
+
+  private createFleetReport(): FleetReport {
+    const { identity, membership, configuration, log } = this;
+    return new FleetReport({
+      identity,
+      members: () => membership.table.all(),
+      services: () => membership.targets.services(),
+      targetsOf: (service) => membership.targets.all(service),
+      configuration: () => configuration.current,
+      limitsOf: (service) => configuration.limitsOf(service),
+      findLines: (id) => log.find(id),
+      restore: (target) => this.ejection.restore(target),
+    });
   }
 
   private async announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
