Bound the answers in memory, scope keys by account, isolate daemons in histories

Answers of issued keys stayed in memory for an hour whatever their size. They and the recent answers of own keys now have a bound in bytes for each daemon.

Two accounts that chose the same key for the same request shared an answer. The key is joined with the account.

--- a/src/bench/operations/Faults.ts
+++ b/src/bench/operations/Faults.ts
@@ -56,6 +56,20 @@
   fleet.clock.after(duration, () => fleet.cuts.delete(way));
 };
 
+/** A region on its own: callers reach the daemon, but neither the store nor another daemon does. */
+const isolate: Fault = (fleet, random, duration) => {
+  const daemon = pick(fleet, random);
+  const ways = [0, 1, 2, 3]
+    .map((number) => fleet.daemon(number).id)
+    .flatMap((other) => [`${daemon.id}>${other}`, `${other}>${daemon.id}`]);
+  ways.forEach((way) => fleet.cuts.add(way));
+  daemon.faults.isRequestCut = true;
+  fleet.clock.after(duration, () => {
+    ways.forEach((way) => fleet.cuts.delete(way));
+    Object.assign(daemon.faults, noFaults());
+  });
+};
+
 const faults: readonly Fault[] = [
   pause,
   pause,
@@ -65,6 +79,8 @@
   storeFault,
   storeFault,
   oneWayCut,
+  isolate,
+  isolate,
 ];
 
 /** Injects random faults until `end` (`Clock.elapsed`). */
--- a/src/bench/operations/SimulatedDaemon.ts
+++ b/src/bench/operations/SimulatedDaemon.ts
@@ -26,7 +26,7 @@
 import { textHash } from './TestHash.js';
 import type { StoreFaults } from './Types.js';
 
-const limits = { operations: 100_000, recentAnswers: 20 };
+const limits = { operations: 100_000, recentAnswers: 20, answerBytes: 100_000_000 };
 const retention = 24 * 3600 * 1000;
 /** Milliseconds without news after which a member counts as dead. */
 const deadAfter = 3500;
--- a/src/bench/scenarios/operations.ts
+++ b/src/bench/scenarios/operations.ts
@@ -39,7 +39,7 @@
 const serviceTime = 5;
 const bodyBytes = 200;
 const callerTimeout = 2000;
-const limits = { operations: 10_000_000, recentAnswers: 1000 };
+const limits = { operations: 10_000_000, recentAnswers: 1000, answerBytes: 100_000_000 };
 const retention = 24 * 3600 * 1000;
 
 const policies = ['own keys', 'issued keys', 'one write each'] as const;
@@ -264,7 +264,11 @@
   const small = 100_000;
   const large = 300_000;
   const recentAnswers = isArchived ? 100 : large;
-  const ledger = new OperationLedger(textHash, { operations: large, recentAnswers });
+  const ledger = new OperationLedger(textHash, {
+    operations: large,
+    recentAnswers,
+    answerBytes: 100_000_000,
+  });
   const remember = (from: number, to: number): void => {
     for (let number = from; number < to; number += 1) {
       const key = brandAs<OperationKey>(`0b6c4f4e-5a27-4c8f-9d1e-${number}`);
--- a/src/common/operations/Journal.ts
+++ b/src/common/operations/Journal.ts
@@ -1,6 +1,7 @@
 import type { Clock, Disposable, OperationKey } from '../base/index.js';
 import { FencedError } from './FencedError.js';
 import { JournalChain, type ChainContext } from './JournalChain.js';
+import { largestAnswer } from './OperationLedger.js';
 import { SegmentAges } from './SegmentAges.js';
 import { sizeOfRecord } from './SegmentCodec.js';
 import type {
@@ -19,8 +20,8 @@
 const answerDelay = 500;
 /** Bytes of a segment. 100 segments, one block of a replay, stay below the 4 MB of a gRPC message. */
 const segmentBytes = 32 * 1024;
-/** Bytes of an answer, headers included, that is kept for resends. */
-export const answerBytes = 16 * 1024;
+/** Bytes of a record: a kept answer with its key, fingerprint and framing. */
+const largestRecord = largestAnswer + 1024;
 /** Segments deleted by one transaction; etcd accepts 128 operations by default. */
 const deletionBatch = 100;
 
@@ -92,7 +93,7 @@
   public append(record: DoneRecord | ReleaseRecord): void {
     if (this.isEnded) return;
     const size = sizeOfRecord(record);
-    if (size > answerBytes && record.type === 'done') {
+    if (size > largestRecord && record.type === 'done') {
       this.append({ type: 'done', key: record.key, fingerprint: record.fingerprint });
     } else this.enqueue({ record, size }, answerDelay);
   }
--- a/src/common/operations/OperationLedger.test.ts
+++ b/src/common/operations/OperationLedger.test.ts
@@ -8,7 +8,7 @@
 const print = brandAs<Fingerprint>('f');
 const otherPrint = brandAs<Fingerprint>('g');
 const answer = { status: 200, headers: [], body: new Uint8Array() };
-const limits = { operations: 3, recentAnswers: 1 };
+const limits = { operations: 3, recentAnswers: 1, answerBytes: 100_000_000 };
 
 function createLedger(): OperationLedger {
   return new OperationLedger(textHash, limits);
@@ -124,7 +124,11 @@
   });
 
   it('moves old answers to the archive, so that memory does not grow with them', () => {
-    const ledger = new OperationLedger(textHash, { operations: 100, recentAnswers: 2 });
+    const ledger = new OperationLedger(textHash, {
+      operations: 100,
+      recentAnswers: 2,
+      answerBytes: 100_000_000,
+    });
     const keys = ['a', 'b', 'c', 'd'].map((text) => brandAs<OperationKey>(text));
     keys.forEach((one, index) => {
       ledger.begin(one, print);
@@ -141,4 +145,22 @@
     ]);
     expect(found[0]).to.include({ sequence: 10 });
   });
+
+  it('drops old answers beyond the bytes it may hold, but not their outcome', () => {
+    const ledger = new OperationLedger(textHash, { ...limits, answerBytes: 250 });
+    const body = new Uint8Array(100);
+    const keys = ['a', 'b', 'c'].map((text) => brandAs<OperationKey>(text));
+    keys.forEach((one) => {
+      ledger.begin(one, print);
+      ledger.start(one, 1);
+      ledger.finish(one, { status: 200, headers: [], body });
+    });
+    const kept = keys.map((one) => ledger.begin(one, print));
+    expect(kept.map(({ type }) => type)).to.deep.equal(['answer', 'answer', 'answer']);
+    expect(kept.map((one) => 'answer' in one && one.answer !== undefined)).to.deep.equal([
+      false,
+      true,
+      true,
+    ]);
+  });
 });
--- a/src/common/operations/OperationLedger.ts
+++ b/src/common/operations/OperationLedger.ts
@@ -3,6 +3,9 @@
 import { ArchiveIndex } from './ArchiveIndex.js';
 import type { Decision, JournalRecord, Settlement, TextHash } from './Types.js';
 
+/** Bytes of an answer, headers included, that is kept for resends. */
+export const largestAnswer = 16 * 1024;
+
 type State = 'intended' | 'started' | 'done' | 'unknown';
 
 interface Entry {
@@ -11,6 +14,8 @@
   answer?: RecordedAnswer;
   /** Journal segment that holds the answer or, before there is one, the intent. */
   sequence?: number;
+  /** The answer is in that segment. */
+  isWritten?: boolean;
   waiters?: ((settlement: Settlement) => void)[];
 }
 
@@ -19,12 +24,23 @@
   lastSequence: number;
 }
 
+function sizeOfAnswer({ headers, body }: RecordedAnswer): number {
+  return headers.reduce((sum, [name, value]) => sum + name.length + value.length, body.byteLength);
+}
+
 /** Bounds on the memory of a ledger. */
 export interface LedgerLimits {
   /** Operations that the ledger remembers in all. Beyond that new ones are refused. */
   readonly operations: number;
   /** Finished operations whose answers stay in memory; older ones are read from the journal. */
   readonly recentAnswers: number;
+  /** Bytes of answers that stay in memory. Without a journal an older answer is lost, but not its outcome. */
+  readonly answerBytes: number;
+}
+
+interface KeptAnswer {
+  readonly key: OperationKey;
+  readonly bytes: number;
 }
 
 /**
@@ -39,6 +55,11 @@
 
   private generations: Generation[] = [];
 
+  /** Answers in the order in which they came; some may have been archived since. */
+  private kept: KeptAnswer[] = [];
+
+  private keptBytes = 0;
+
   public constructor(
     private readonly hash: TextHash,
     private readonly limits: LedgerLimits,
@@ -89,8 +110,8 @@
     const entry = this.entries.get(key);
     if (entry === undefined) return;
     entry.state = 'done';
-    entry.answer = answer;
     OperationLedger.settle(entry, { type: 'done', answer });
+    if (answer !== undefined) this.keep(key, entry, answer);
   }
 
   /** Forgets an operation that was not run; its key may begin again. */
@@ -114,6 +135,7 @@
     const entry = this.entries.get(key);
     if (entry?.state !== 'done') return;
     entry.sequence = sequence;
+    entry.isWritten = true;
     this.recent.push(key);
     if (this.recent.length >= this.limits.recentAnswers * 2) this.archiveOldest();
   }
@@ -172,6 +194,22 @@
     return this.generations.reduce((sum, { index }) => sum + index.bytes, 0);
   }
 
+  private keep(key: OperationKey, entry: Entry, answer: RecordedAnswer): void {
+    const bytes = sizeOfAnswer(answer);
+    if (bytes > largestAnswer) return;
+    entry.answer = answer;
+    this.kept.push({ key, bytes });
+    this.keptBytes += bytes;
+    while (this.keptBytes > this.limits.answerBytes) this.dropOldestAnswer();
+  }
+
+  private dropOldestAnswer(): void {
+    const oldest = this.kept.shift();
+    this.keptBytes -= oldest?.bytes ?? this.keptBytes;
+    const entry = oldest === undefined ? undefined : this.entries.get(oldest.key);
+    if (entry !== undefined) entry.answer = undefined;
+  }
+
   private archiveOldest(): void {
     const oldest = this.recent.slice(0, this.limits.recentAnswers);
     this.recent = this.recent.slice(this.limits.recentAnswers);
@@ -202,7 +240,7 @@
 
   private static decide(entry: Entry, fingerprint: Fingerprint): Decision {
     if (entry.fingerprint !== fingerprint) return { type: 'mismatch' };
-    if (entry.state === 'done') return { type: 'answer', answer: entry.answer };
+    if (entry.state === 'done') return OperationLedger.answer(entry);
     if (entry.state === 'unknown') return { type: 'unknown' };
     const settled = new Promise<Settlement>((resolve) => {
       entry.waiters = [...(entry.waiters ?? []), resolve];
@@ -210,6 +248,13 @@
     return { type: 'wait', settled };
   }
 
+  private static answer({ answer, sequence, isWritten }: Entry): Decision {
+    if (answer === undefined && isWritten === true && sequence !== undefined) {
+      return { type: 'archived', sequence };
+    }
+    return { type: 'answer', answer };
+  }
+
   private static settle(entry: Entry, settlement: Settlement): void {
     const waiters = entry.waiters ?? [];
     entry.waiters = undefined;
--- a/src/common/operations/OperationRunner.test.ts
+++ b/src/common/operations/OperationRunner.test.ts
@@ -60,7 +60,11 @@
 
   public readonly log = new ManualLog();
 
-  public readonly ledger = new OperationLedger(textHash, { operations: 9, recentAnswers: 9 });
+  public readonly ledger = new OperationLedger(textHash, {
+    operations: 9,
+    recentAnswers: 9,
+    answerBytes: 100_000_000,
+  });
 
   public starts = 0;
 
--- a/src/common/operations/RangeOwnership.test.ts
+++ b/src/common/operations/RangeOwnership.test.ts
@@ -28,7 +28,7 @@
       daemon: brandAs<DaemonId>(name),
       incarnation: brandAs<Incarnation>(`${run}-${name}`),
       others: () => this.others(name),
-      limits: { operations: 1000, recentAnswers: 100 },
+      limits: { operations: 1000, recentAnswers: 100, answerBytes: 100_000_000 },
       retention: 24 * 3600 * 1000,
     });
     this.owners.set(name, owner);
--- a/src/common/operations/RangeOwnership.ts
+++ b/src/common/operations/RangeOwnership.ts
@@ -38,7 +38,7 @@
   readonly incarnation: Incarnation;
   /** All other known members. */
   readonly others: () => readonly AuthorityMember[];
-  /** Operations of all ranges together, and answers of each. */
+  /** Operations and bytes of answers of all ranges together, and recent answers of each. */
   readonly limits: LedgerLimits;
   /** Milliseconds for which finished operations are remembered. */
   readonly retention: number;
@@ -174,12 +174,15 @@
   /** Limits of one ledger: an equal part of what this daemon can remember. */
   private createLimits(): LedgerLimits {
     const { held } = this;
-    const { operations, recentAnswers } = this.context.limits;
+    const { operations, recentAnswers, answerBytes } = this.context.limits;
     return {
       get operations() {
         return Math.floor(operations / Math.max(1, held.size));
       },
       recentAnswers,
+      get answerBytes() {
+        return Math.floor(answerBytes / Math.max(1, held.size));
+      },
     };
   }
 
--- a/src/daemon/OperationFront.ts
+++ b/src/daemon/OperationFront.ts
@@ -1,7 +1,13 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Readable } from 'node:stream';
-import { brandAs, NotRunError, type Clock, type OperationKey } from '../api/index.js';
-import type { OperationResult } from '../common/operations/index.js';
+import {
+  brandAs,
+  NotRunError,
+  type AccountId,
+  type Clock,
+  type OperationKey,
+} from '../api/index.js';
+import { parseIssuedKey, type OperationResult } from '../common/operations/index.js';
 import type { RoutedRequest } from './Forwarder.js';
 import { findHeader, outcomeHeader, reasonHeader } from './Headers.js';
 import { createFingerprint, type Operations } from './Operations.js';
@@ -12,9 +18,19 @@
 const outcomePath = '/.limpettrack/operations/';
 /** A caller that sends a key for the first time says so; then a refusal needs no word of the store. */
 const firstHeader = 'limpettrack-first-attempt';
+const accountHeader = 'limpettrack-account';
 const maxKeyLength = 200;
 const noLoad = { queued: 0, running: 0, slots: 0, serviceTime: 0 };
 
+/**
+ * Key within its account. Two accounts may choose the same key for the same request, and neither may get the answer
+ * of the other. An issued key is unique in the fleet and carries its issuer.
+ */
+export function scopeKey(key: OperationKey, account: AccountId | undefined): OperationKey {
+  if (account === undefined || parseIssuedKey(key) !== undefined) return key;
+  return brandAs<OperationKey>(`${account}/${key}`);
+}
+
 function createAnswer(
   status: number,
   headers: readonly HeaderPair[],
@@ -86,7 +102,7 @@
       throw new NotRunError('bad-request', message, { step: 'operation.check' });
     }
     const result = await this.operations.run({
-      key,
+      key: scopeKey(key, context.account),
       fingerprint: createFingerprint(method, path, body),
       deadline: this.clock.elapsed() + context.timeout,
       isFirst: findHeader(headers, firstHeader) === 'yes',
@@ -107,7 +123,9 @@
     }
     if (request.method !== 'GET' || !path.startsWith(outcomePath)) return false;
     const key = decodeURIComponent(path.slice(outcomePath.length));
-    const result = await this.operations.outcome(brandAs<OperationKey>(key));
+    const account = request.headers[accountHeader];
+    const scope = typeof account === 'string' ? brandAs<AccountId>(account) : undefined;
+    const result = await this.operations.outcome(scopeKey(brandAs<OperationKey>(key), scope));
     sendJson(response, 200, OperationFront.describe(result));
     return true;
   }
--- a/src/daemon/Operations.ts
+++ b/src/daemon/Operations.ts
@@ -45,8 +45,10 @@
 const issuedKeyLifetime = 60 * 60 * 1000;
 /** Milliseconds for which a caller's own key is remembered. */
 const retention = 24 * 60 * 60 * 1000;
-/** About 250 bytes each, so that all ranges of one daemon stay below a quarter of its 256 MB. */
-const limits = { operations: 200_000, recentAnswers: 1_000 };
+/** Own keys of all ranges: at most 32 bytes each in the index, 80 MB, and the answers beside them. */
+const limits = { operations: 2_500_000, recentAnswers: 1_000, answerBytes: 32_000_000 };
+/** Issued keys live for an hour at about 200 bytes each without their answers. */
+const issuedLimits = { operations: 200_000, recentAnswers: 1_000, answerBytes: 32_000_000 };
 const forgetInterval = 60_000;
 /** Milliseconds between two looks at the operations that still run during a stop. */
 const stopCheckInterval = 50;
@@ -110,7 +112,7 @@
       clock,
       hash: hashString64,
       issuedKeys: this.issuedKeys,
-      issuedLedger: new OperationLedger(hashString64, limits),
+      issuedLedger: new OperationLedger(hashString64, issuedLimits),
       recordsOf: (range) => (this.isStopping ? undefined : this.ownership.recordsOf(range)),
       dispatch: createDispatch(forwarder, clock),
     });
