Wait for the states of the targets by their JSON

Cause: the reason for a state can contain the word that the test counted, so the setup of the command tests waited for ever since targets report why they became active. Change: the setup counts the targets of the JSON answer.

--- a/test/OperatorFleet.ts
+++ b/test/OperatorFleet.ts
@@ -66,13 +66,13 @@
   public async start(): Promise<void> {
     await this.fleet.startDaemons();
     const file = this.write('configuration.ini', configuration);
-    const { code, output } = await this.run('preset', 'write', file);
-    if (code !== 0) throw new Error(output);
+    const written = await this.run('preset', 'write', file);
+    if (written.code !== 0) throw new Error(written.output);
     await this.fleet.startTargets();
-    await this.until(
-      ['target', 'list'],
-      ({ output: list }) => (list.match(/active/g) ?? []).length === 4,
-    );
+    await this.until(['target', 'list', '--state', 'active', '--json'], ({ output, code }) => {
+      const targets = code === 0 ? (JSON.parse(output) as unknown[]) : [];
+      return targets.length === 4;
+    });
   }
 
   /** Runs a command with the addresses of the fleet. */
