Release the timers of gone targets when a daemon stops

A stopped daemon kept running until 10 minutes after a target had left, since the timer that forgets its incarnation was not released; the test against real processes waited 30 s for each such daemon and killed it.

--- a/src/common/membership/TargetAnnouncements.test.ts
+++ b/src/common/membership/TargetAnnouncements.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { isRight } from 'fp-ts/lib/Either.js';
 import { VirtualClock, brandAs } from '../base/index.js';
-import type { Incarnation, ServiceName, TargetId } from '../base/index.js';
+import type { Disposable, Incarnation, ServiceName, TargetId } from '../base/index.js';
 import type { TargetAnnouncement } from '../services/Types.js';
 import { TargetAnnouncements } from './TargetAnnouncements.js';
 
@@ -98,4 +98,31 @@
     announcements.close();
     expect(announcements.announce(announcement('1-a'))).to.deep.include({ left: 'leaving' });
   });
+
+  it('leaves no timer behind, which would keep a stopped daemon running for 10 minutes', () => {
+    const clock = new VirtualClock();
+    const pending = new Set<Disposable>();
+    const announcements = new TargetAnnouncements({
+      now: () => clock.now(),
+      elapsed: () => clock.elapsed(),
+      after: (delay, callback) => {
+        const timer = clock.after(delay, () => {
+          pending.delete(timer);
+          callback();
+        });
+        pending.add(timer);
+        return {
+          dispose: () => {
+            pending.delete(timer);
+            timer.dispose();
+          },
+        };
+      },
+    });
+    announcements.announce(announcement('1'));
+    clock.advance(3000);
+    announcements.announce(announcement('2'));
+    announcements.dispose();
+    expect(pending.size).to.equal(0);
+  });
 });
--- a/src/common/membership/TargetAnnouncements.ts
+++ b/src/common/membership/TargetAnnouncements.ts
@@ -35,6 +35,9 @@
 
   private readonly assigned = new Map<TargetId, AssignedState>();
 
+  /** Timers that forget the incarnations of targets that are gone. */
+  private readonly memories = new Set<Disposable>();
+
   private readonly changeEmitter = new Emitter<void>();
 
   private readonly goneEmitter = new Emitter<TargetAnnouncement>();
@@ -99,6 +102,9 @@
   public dispose(): void {
     this.announced.forEach(({ timer }) => timer.dispose());
     this.announced.clear();
+    // A timer that is left keeps a stopped process from ending.
+    this.memories.forEach((timer) => timer.dispose());
+    this.memories.clear();
     this.changeEmitter.dispose();
     this.goneEmitter.dispose();
   }
@@ -126,7 +132,11 @@
     this.announced.delete(id);
     this.assigned.delete(id);
     const { incarnation } = held.announcement;
-    this.clock.after(incarnationMemory, () => this.forget(id, incarnation));
+    const timer = this.clock.after(incarnationMemory, () => {
+      this.memories.delete(timer);
+      this.forget(id, incarnation);
+    });
+    this.memories.add(timer);
     this.goneEmitter.fire(held.announcement);
   }
 
--- a/test/operations.test.ts
+++ b/test/operations.test.ts
@@ -80,8 +80,6 @@
   after(async function stopFleet() {
     this.timeout(60_000);
     await agent.close();
-    // The planned stop of daemons is the subject of other tests.
-    fleet.daemons.forEach(({ process }) => process.dispose());
     await fleet.stop();
     await rm(directory, { recursive: true, force: true });
   });
