--- a/src/common/health/HealthTracker.ts
+++ b/src/common/health/HealthTracker.ts
@@ -52,6 +52,8 @@
 const warmUp = 30_000;
 /** Milliseconds without an answer after which a target with running requests is probed. */
 const silence = 500;
+/** Milliseconds after which a request is no longer followed, so that one whose end was missed is not kept. */
+const longestFlight = 900_000;
 const windowLength = 10;
 const maximumRoutes = 64;
 const summaryRoutes = 8;
@@ -276,6 +278,7 @@
 
   private markOldFlights(now: number): void {
     for (const flight of this.flights) {
+      if (now - flight.startedAt > longestFlight) this.flights.delete(flight);
       const limit = this.slowLimit(flight.route) ?? unknownRouteLimit;
       const mark = ageMarks[flight.slowMarks];
       if (mark === undefined || now - flight.startedAt <= mark * limit) continue;
