Send small requests and answers between daemons in one part

Cause: a forwarded request was up to five messages on a gRPC stream, each with its own write. Change: head, body and end travel in one part when the request is in memory or the answer is at most 16 KB.

--- a/src/daemon/Forwarder.ts
+++ b/src/daemon/Forwarder.ts
@@ -160,7 +160,7 @@
           method: request.method,
           path: request.path,
           headers: request.headers,
-          body: Buffer.isBuffer(request.body) ? Readable.from([request.body]) : request.body,
+          body: request.body,
         },
         abort.signal,
       );
--- a/src/daemon/PeerServer.ts
+++ b/src/daemon/PeerServer.ts
@@ -1,4 +1,5 @@
 import { Readable } from 'node:stream';
+import { buffer } from 'node:stream/consumers';
 import {
   Server,
   ServerCredentials,
@@ -11,11 +12,15 @@
 import type { AnswerPart } from './generated/limpettrack/AnswerPart.js';
 import type { PeerHandlers } from './generated/limpettrack/Peer.js';
 import type { RequestPart__Output as RequestPart } from './generated/limpettrack/RequestPart.js';
+import { findHeader } from './Headers.js';
 import { decodeForwardRequest, encodeHeaders, encodeLoad } from './PeerMessages.js';
 import { channelOptions, Peer } from './PeerProtocol.js';
 import { discard } from './streams.js';
 import type { Home } from './Types.js';
 
+/** Bodies up to this many bytes travel in one part with their head, which halves the cost of a call. */
+const smallBody = 16 * 1024;
+
 type ForwardCall = ServerDuplexStream<RequestPart, AnswerPart>;
 
 /** Answers one unary call; a rejection becomes a gRPC error. */
@@ -47,15 +52,25 @@
   });
 }
 
-async function* readBody(parts: AsyncIterator<RequestPart>): AsyncGenerator<Buffer> {
+async function* readBody(
+  first: RequestPart,
+  parts: AsyncIterator<RequestPart>,
+): AsyncGenerator<Buffer> {
+  let part = first;
   for (;;) {
+    if (part.body.length > 0) yield part.body;
+    if (part.end) return;
     const { value, done } = await parts.next();
     if (done === true) throw new FleetError('request body was cut', { step: 'forward.body' });
-    if (value.part === 'end') return;
-    if (value.body !== undefined) yield value.body;
+    part = value;
   }
 }
 
+/** A body that came whole with the head stays in memory, another one is a stream. */
+function readRequestBody(first: RequestPart, parts: AsyncIterator<RequestPart>): Buffer | Readable {
+  return first.end ? first.body : Readable.from(readBody(first, parts), { objectMode: false });
+}
+
 function describeFailure(error: unknown): AnswerPart {
   const message = error instanceof Error ? error.message : String(error);
   if (error instanceof NotRunError) {
@@ -121,7 +136,7 @@
           peer: call.getPeer(),
         });
       }
-      const body = head.hasBody ? Readable.from(readBody(parts), { objectMode: false }) : undefined;
+      const body = head.hasBody ? readRequestBody(first.value, parts) : undefined;
       await this.answer(call, { ...decodeForwardRequest(head), body }, abort.signal);
     } catch (error) {
       if (!abort.signal.aborted) await writePart(call, describeFailure(error));
@@ -136,8 +151,13 @@
   ): Promise<void> {
     const { status: code, headers, load, body } = await this.home.forward(request, signal);
     const head = { status: code, headers: encodeHeaders(headers), load: encodeLoad(load) };
-    await writePart(call, { head });
     try {
+      const length = Number(findHeader(headers, 'content-length') ?? Infinity);
+      if (length <= smallBody) {
+        await writePart(call, { head, body: await buffer(body), end: true });
+        return;
+      }
+      await writePart(call, { head });
       for await (const chunk of body) {
         if (signal.aborted) return;
         await writePart(call, { body: chunk as Buffer });
--- a/src/daemon/RemoteHome.ts
+++ b/src/daemon/RemoteHome.ts
@@ -11,30 +11,43 @@
 
 const connectTimeout = 1_000;
 
-async function sendBody(call: ForwardCall, body: Readable | undefined): Promise<void> {
-  if (body !== undefined) {
-    for await (const chunk of body) {
-      if (!call.write({ body: chunk as Buffer })) {
-        await new Promise<void>((resolve) => {
-          call.once('drain', resolve);
-          call.once('close', resolve);
-          call.once('error', () => resolve());
-        });
-      }
+/** Sends the head with the body; a body in memory goes along in the same part. */
+async function sendRequest(call: ForwardCall, request: ForwardRequest): Promise<void> {
+  const head = encodeRequestHead(request);
+  const { body } = request;
+  if (body === undefined || Buffer.isBuffer(body)) {
+    call.write({ head, body, end: true });
+    call.end();
+    return;
+  }
+  call.write({ head });
+  for await (const chunk of body) {
+    if (!call.write({ body: chunk as Buffer })) {
+      await new Promise<void>((resolve) => {
+        call.once('drain', resolve);
+        call.once('close', resolve);
+        call.once('error', () => resolve());
+      });
     }
   }
   call.write({ end: true });
   call.end();
 }
 
-async function* readBody(parts: AsyncIterator<AnswerPart>, peer: string): AsyncGenerator<Buffer> {
+async function* readBody(
+  first: AnswerPart,
+  parts: AsyncIterator<AnswerPart>,
+  peer: string,
+): AsyncGenerator<Buffer> {
+  let part = first;
   for (;;) {
+    if (part.body.length > 0) yield part.body;
+    if (part.end) return;
     const { value, done } = await parts.next();
     if (done === true) {
       throw new OutcomeUnknownError('answer body was cut', { step: 'forward.body', peer });
     }
-    if (value.part === 'end') return;
-    if (value.body !== undefined) yield value.body;
+    part = value;
   }
 }
 
@@ -55,8 +68,7 @@
     call.once('close', () => signal.removeEventListener('abort', cancel));
     // The error is reported through the iterator; a second listener keeps it from being uncaught.
     call.on('error', () => {});
-    call.write({ head: encodeRequestHead(request) });
-    sendBody(call, request.body).catch(cancel);
+    sendRequest(call, request).catch(cancel);
     return this.readAnswer(call);
   }
 
@@ -70,7 +82,7 @@
       throw new OutcomeUnknownError('no answer', { step: 'forward.answer', peer });
     }
     const { failure, head } = first.value;
-    if (failure !== undefined && failure !== null) {
+    if (failure !== null) {
       if (!failure.notRun) {
         throw new OutcomeUnknownError(failure.message, { step: 'forward.target', peer });
       }
@@ -79,7 +91,7 @@
         peer,
       });
     }
-    if (head === undefined || head === null) {
+    if (head === null) {
       call.cancel();
       throw new OutcomeUnknownError('answer without a head', { step: 'forward.answer', peer });
     }
@@ -87,7 +99,7 @@
       status: head.status,
       headers: decodeHeaders(head.headers),
       load: decodeLoad(head.load),
-      body: Readable.from(readBody(parts, peer), { objectMode: false }),
+      body: Readable.from(readBody(first.value, parts, peer), { objectMode: false }),
     };
   }
 }
--- a/src/daemon/Types.ts
+++ b/src/daemon/Types.ts
@@ -23,8 +23,8 @@
   readonly method: string;
   readonly path: string;
   readonly headers: readonly HeaderPair[];
-  /** Absent if the request has no body. An error on the stream means that the body was cut. */
-  readonly body?: Readable;
+  /** Absent if the request has no body. An error on a stream means that the body was cut. */
+  readonly body?: Readable | Buffer;
 }
 
 /** Answer of a target. The body ends only if it is complete; a cut body ends with an error. */
