Quarantine requests that crash targets, and keep error evidence of dropped answers

Cause: the daemon did not use the quarantine, and an error answer that the entry dropped to retry elsewhere was recorded as cancelled, so a failing target looked healthy to its home. Change: CrashGuard reports requests in flight when a target is lost and refuses those that were there twice; an unknown outcome is retried on one further target at most; an error status counts whatever becomes of the body.

--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -23,6 +23,7 @@
 import { AdminServer } from './AdminServer.js';
 import { ConfigurationDistribution } from './ConfigurationDistribution.js';
 import { CountedStore } from './CountedStore.js';
+import { CrashGuard } from './CrashGuard.js';
 import { DecisionLog } from './DecisionLog.js';
 import { Ejection } from './Ejection.js';
 import { FleetReport } from './FleetReport.js';
@@ -95,6 +96,8 @@
 
   private readonly ejection: Ejection;
 
+  private readonly crashGuard: CrashGuard;
+
   private readonly operations: Operations;
 
   private readonly operationFront: OperationFront;
@@ -136,7 +139,21 @@
       }),
     );
     this.home = this.disposables.add(
-      new LocalHome(clock, (service) => this.configuration.limitsOf(service).maxQueue),
+      new LocalHome(
+        clock,
+        (service) => this.configuration.limitsOf(service).maxQueue,
+        (request) => this.crashGuard.checkAt(request),
+      ),
+    );
+    this.crashGuard = this.disposables.add(
+      new CrashGuard({
+        store: this.store,
+        clock,
+        random,
+        log: this.log,
+        home: this.home,
+        addressOf: (target) => this.membership.announcements.get(target)?.address,
+      }),
     );
     this.membership = this.disposables.add(this.createMembership());
     this.quotas = this.disposables.add(this.createQuotas());
@@ -170,6 +187,7 @@
     this.membership.start();
     this.configuration.start(this.membership);
     this.operations.start();
+    this.crashGuard.start();
     this.logLifecycle('serving');
     return { peer, admin, callers };
   }
@@ -320,6 +338,7 @@
       runOperation: (request, signal) => this.operationFront.run(request, signal),
       internal: (request, response, path) => this.operationFront.handle(request, response, path),
       checkLimits: (context) => this.quotas.check(context),
+      checkQuarantine: (context) => this.crashGuard.check(context),
       timeoutOf: (route) => route.timeout ?? this.configuration.limitsOf(route.service).timeout,
       createId: () => this.createRequestId(),
       onFinished: (request) => this.metrics.record(request),
--- a/src/daemon/Forwarder.ts
+++ b/src/daemon/Forwarder.ts
@@ -49,6 +49,8 @@
 }
 
 const maxAttempts = 3;
+/** A request that may have crashed two targets is not run on a third. */
+const maxUnknown = 2;
 /** Share of the remaining time that an attempt may use when another attempt can follow. */
 const attemptShare = 0.6;
 const firstServerError = 500;
@@ -78,11 +80,16 @@
     const started = this.settings.clock.elapsed();
     this.settings.retries.recordRequest(context.service);
     let unknown: FleetError | undefined;
+    let unknownCount = 0;
     for (let count = 1; ; count += 1) {
       const left = context.timeout - (this.settings.clock.elapsed() - started);
       const attempt = await this.attempt(request, avoid, left, signal);
-      if ('error' in attempt && !(attempt.error instanceof NotRunError)) unknown = attempt.error;
-      if (!this.mayRetry(request, attempt, count, started, signal)) {
+      if ('error' in attempt && !(attempt.error instanceof NotRunError)) {
+        unknown = attempt.error;
+        unknownCount += 1;
+      }
+      const isLast = count >= maxAttempts || unknownCount >= maxUnknown;
+      if (isLast || !this.mayRetry(request, attempt, started, signal)) {
         if ('answer' in attempt) return attempt.answer;
         // A refusal of the last attempt must not hide that an earlier one may have run.
         throw unknown ?? attempt.error;
@@ -95,13 +102,12 @@
   private mayRetry(
     request: RoutedRequest,
     attempt: Attempt,
-    count: number,
     started: number,
     signal: AbortSignal,
   ): boolean {
     const { context } = request;
     const isOver = this.settings.clock.elapsed() - started >= context.timeout;
-    if (isOver || signal.aborted || count >= maxAttempts || attempt.target === undefined) {
+    if (isOver || signal.aborted || attempt.target === undefined) {
       return false;
     }
     if (!Forwarder.isRepeatable(request, attempt)) return false;
--- a/src/daemon/HttpFront.ts
+++ b/src/daemon/HttpFront.ts
@@ -27,6 +27,7 @@
   pairHeaders,
   timeoutHeader,
 } from './Headers.js';
+import { createFingerprint } from './fingerprint.js';
 import { checkRequest, maxBufferedBody, type CheckedRequest } from './RequestCheck.js';
 import { createResumedBody } from './ResumedBody.js';
 import { sendFailure, sendText } from './Responses.js';
@@ -74,6 +75,8 @@
   readonly internal: InternalHandler;
   /** Throws `NotRunError` if a limit of the service, the class or the account is reached. */
   readonly checkLimits: (context: RequestContext) => Promise<void>;
+  /** Throws `NotRunError` if the request was in flight when targets crashed. */
+  readonly checkQuarantine: (context: RequestContext) => void;
   /** Timeout in milliseconds for a route. */
   readonly timeoutOf: (route: RouteDocument) => number;
   readonly createId: () => RequestId;
@@ -222,6 +225,7 @@
     try {
       await this.settings.checkLimits(context);
       const routed = await this.createRouted(request, headers, checked, context);
+      this.settings.checkQuarantine(routed.context);
       await this.answer(response, routed, abort.signal);
     } catch (error) {
       failure = error;
@@ -270,14 +274,18 @@
   ): Promise<RoutedRequest> {
     const remote = request.socket.remoteAddress ?? 'unknown';
     const forwarded = createRequestHeaders(headers, remote, host, context.id);
-    const routed = { context, method: request.method ?? 'GET', path, headers: forwarded };
-    if (length === 0) return routed;
+    const method = request.method ?? 'GET';
+    const create = (content?: Buffer): RoutedRequest => {
+      const fingerprint = createFingerprint(method, path, content);
+      return { context: { ...context, fingerprint }, method, path, headers: forwarded };
+    };
+    if (length === 0) return create();
     const mustBuffer = length === undefined || !context.isIdempotent || length <= maxBufferedBody;
-    if (!mustBuffer) return { ...routed, body: request };
+    if (!mustBuffer) return { ...create(), body: request };
     const body = await readWhole(request, maxBufferedBody);
     const withoutLength = forwarded.filter(([name]) => name.toLowerCase() !== 'content-length');
     return {
-      ...routed,
+      ...create(body),
       headers: [...withoutLength, ['content-length', String(body.length)]],
       body,
     };
--- a/src/daemon/LocalHome.ts
+++ b/src/daemon/LocalHome.ts
@@ -65,6 +65,8 @@
   public constructor(
     private readonly clock: Clock,
     private readonly maxQueueOf: (service: ServiceName) => number,
+    /** Throws `NotRunError` if a request that has a slot must not be sent. */
+    private readonly checkStart: (request: ForwardRequest) => void,
   ) {}
 
   /** Adds a target or updates it; a new incarnation or address gets new connections and a new queue. */
@@ -116,6 +118,12 @@
     const started = this.clock.elapsed();
     const target = this.find(request);
     const permit = await this.admit(target, request, signal);
+    try {
+      this.checkStart(request);
+    } catch (refusal) {
+      permit.release({ kind: 'cancelled' });
+      throw refusal;
+    }
     const timeout = request.context.timeout - (this.clock.elapsed() - started);
     this.startEmitter.fire(request);
     const sent = this.clock.elapsed();
@@ -202,7 +210,9 @@
     pipeline(answer.body, body, (error) => {
       const whole = outcomeOfStatus(answer.status);
       const cut: OutcomeKind = body.destroyed && !answer.body.errored ? 'cancelled' : 'truncated';
-      this.finish(request, target, permit, error ? cut : whole, sent, latency);
+      // An error status is evidence even if the entry drops the answer to try elsewhere.
+      const kind = error && whole === 'success' ? cut : whole;
+      this.finish(request, target, permit, kind, sent, latency);
     });
     const load = target.gate.loadFor(permit);
     return { status: answer.status, headers: answer.headers, load, body };
--- a/src/daemon/OperationFront.ts
+++ b/src/daemon/OperationFront.ts
@@ -10,7 +10,8 @@
 import { parseIssuedKey, type OperationResult } from '../common/operations/index.js';
 import type { RoutedRequest } from './Forwarder.js';
 import { findHeader, outcomeHeader, reasonHeader } from './Headers.js';
-import { createFingerprint, type Operations } from './Operations.js';
+import { createFingerprint } from './fingerprint.js';
+import type { Operations } from './Operations.js';
 import { sendJson } from './Responses.js';
 import type { ForwardAnswer, HeaderPair } from './Types.js';
 
--- a/src/daemon/Operations.ts
+++ b/src/daemon/Operations.ts
@@ -1,11 +1,10 @@
-import { createHash, createHmac, randomBytes } from 'node:crypto';
+import { createHmac, randomBytes } from 'node:crypto';
 import {
   brandAs,
   DisposableStore,
   hashString64,
   type Clock,
   type Disposable,
-  type Fingerprint,
   type LogSink,
   type OperationKey,
   type RandomSource,
@@ -68,17 +67,6 @@
   readonly forwarder: Forwarder;
 }
 
-/** Fingerprint of a request: the same key with another fingerprint is another request. */
-export function createFingerprint(
-  method: string,
-  path: string,
-  body: Buffer | undefined,
-): Fingerprint {
-  const hash = createHash('sha256').update(`${method} ${path}\n`);
-  if (body !== undefined) hash.update(body);
-  return brandAs<Fingerprint>(hash.digest('base64url'));
-}
-
 function toAuthorityMember(record: MemberRecord): AuthorityMember {
   const { id, incarnation, status, ranges } = record;
   return { id, incarnation, isLive: status === 'alive', ranges };
--- a/src/target/TargetServer.ts
+++ b/src/target/TargetServer.ts
@@ -36,8 +36,6 @@
  * `GET /.count` tells how many requests arrived.
  */
 export class TargetServer {
-  private fault: FaultSettings = noFault;
-
   private running = 0;
 
   private workCount = 0;
@@ -57,6 +55,7 @@
   public constructor(
     private readonly settings: TargetSettings,
     private readonly crash: () => void,
+    private fault: FaultSettings = noFault,
   ) {
     this.random = createRandom(settings.seed);
     this.server = createServer((request, response) => {
@@ -73,8 +72,15 @@
     return typeof address === 'object' && address !== null ? address.port : Number(port);
   }
 
+  /** Ends at once and cuts every connection, as a crash of the process does. */
+  public kill(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
   /** Stops accepting and waits for the running requests. */
   public async close(): Promise<void> {
+    if (!this.server.listening) return;
     const closed = once(this.server, 'close');
     this.server.close();
     this.server.closeIdleConnections();
