Count a cancelled download as cancelled, not as a fault of its target

Cause: when a reader left, the pipeline also marked the target's body as failed, so the home recorded 'truncated', which is evidence against a healthy target. Change: an early close by the reader or an aborted request is 'cancelled'; only a failing body is 'truncated'.

--- a/src/daemon/LocalHome.ts
+++ b/src/daemon/LocalHome.ts
@@ -129,7 +129,7 @@
     const sent = this.clock.elapsed();
     try {
       const answer = await target.client.send(request, Math.max(1, timeout), signal);
-      return this.createAnswer(request, target, permit, answer, sent);
+      return this.createAnswer(request, target, permit, answer, sent, signal);
     } catch (failure) {
       if (!(failure instanceof TargetFailure)) throw failure;
       this.finish(request, target, permit, failure.kind, sent);
@@ -204,12 +204,14 @@
     permit: Permit,
     answer: TargetAnswer,
     sent: number,
+    signal: AbortSignal,
   ): ForwardAnswer {
     const latency = this.clock.elapsed() - sent;
     const body = new PassThrough();
     pipeline(answer.body, body, (error) => {
       const whole = outcomeOfStatus(answer.status);
-      const cut: OutcomeKind = body.destroyed && !answer.body.errored ? 'cancelled' : 'truncated';
+      const isCancelled = signal.aborted || error?.code === 'ERR_STREAM_PREMATURE_CLOSE';
+      const cut: OutcomeKind = isCancelled ? 'cancelled' : 'truncated';
       // An error status is evidence even if the entry drops the answer to try elsewhere.
       const kind = error && whole === 'success' ? cut : whole;
       this.finish(request, target, permit, kind, sent, latency);
