--- a/src/bench/operations/PausableClock.ts
+++ b/src/bench/PausableClock.ts
@@ -1,4 +1,4 @@
-import type { Clock, Disposable } from '../../api/index.js';
+import type { Clock, Disposable } from '../api/index.js';
 
 /** Clock of one process that can be paused: its timers become due as usual and fire when it resumes. */
 export class PausableClock implements Clock {
--- a/src/bench/operations/SimulatedDaemon.ts
+++ b/src/bench/operations/SimulatedDaemon.ts
@@ -21,7 +21,7 @@
 import type { Records } from '../../common/operations/OperationRunner.js';
 import type { FakeStore } from './FakeStore.js';
 import { FakeStoreClient, noFaults } from './FakeStoreClient.js';
-import { PausableClock } from './PausableClock.js';
+import { PausableClock } from '../PausableClock.js';
 import type { SimulatedPayload } from './SimulatedTargets.js';
 import { textHash } from './TestHash.js';
 import type { StoreFaults } from './Types.js';
--- a/src/bench/scenarios/configuration.ts
+++ b/src/bench/scenarios/configuration.ts
@@ -5,7 +5,8 @@
 import { ConfigurationState } from '../../common/configuration/ConfigurationState.js';
 import type { ConfigurationContent, ConfigurationHead } from '../../common/configuration/Types.js';
 import { RouteTable } from '../../common/routing/RouteTable.js';
-import { ConfigurationFleet, sha256 } from '../simulation/ConfigurationFleet.js';
+import { sha256 } from '../../node/sha256.js';
+import { ConfigurationFleet } from '../simulation/ConfigurationFleet.js';
 import { createContent } from '../simulation/Documents.js';
 import { summarise } from '../Statistics.js';
 import type { Figure, Row, Scenario } from '../Types.js';
--- a/src/bench/simulation/ConfigurationFleet.ts
+++ b/src/bench/simulation/ConfigurationFleet.ts
@@ -1,19 +1,16 @@
-import { createHash } from 'node:crypto';
 import { createRandom } from '../../common/base/index.js';
 import { encodeHead } from '../../common/configuration/ConfigurationCodec.js';
 import { ConfigurationState } from '../../common/configuration/ConfigurationState.js';
 import { ConfigurationTask } from '../../common/configuration/ConfigurationTask.js';
 import { createFleetView } from '../../common/configuration/MemberFleetView.js';
 import { StoreConfigurationEditor } from '../../common/configuration/StoreConfigurationEditor.js';
-import type { ConfigurationChunk, Digest } from '../../common/configuration/Types.js';
+import type { ConfigurationChunk } from '../../common/configuration/Types.js';
 import type { RevisionExchange } from '../../common/membership/Types.js';
+import { sha256 } from '../../node/sha256.js';
 import { FakeStore } from './FakeStore.js';
 import { MemberFleet } from './MemberFleet.js';
 import type { FleetOptions } from './MemberFleet.js';
 
-/** SHA-256 for tests and benches. */
-export const sha256: Digest = (content) => createHash('sha256').update(content).digest('hex');
-
 /** Settings of a simulated fleet with configuration. */
 export interface ConfigurationFleetOptions extends Omit<FleetOptions, 'revisionsOf'> {
   readonly onChunks?: (
--- a/src/bench/simulation/FleetNode.ts
+++ b/src/bench/simulation/FleetNode.ts
@@ -4,7 +4,7 @@
 import { MemberTable } from '../../common/membership/MemberTable.js';
 import { Prober } from '../../common/membership/Prober.js';
 import type { MemberRecord, PeerLink, RevisionExchange } from '../../common/membership/Types.js';
-import { PausableClock } from './PausableClock.js';
+import { PausableClock } from '../PausableClock.js';
 
 /** One simulated daemon. */
 export class FleetNode {
--- a/src/cli/ChangeRunner.ts
+++ b/src/cli/ChangeRunner.ts
@@ -13,7 +13,7 @@
 import { AnswerRecovery } from './AnswerRecovery.js';
 import { compareConfigurations, findOverlap } from './configurationDiff.js';
 import type { EditRefusal } from './edits.js';
-import { emptyContent } from './emptyContent.js';
+import { emptyContent } from '../common/configuration/emptyContent.js';
 import { exitCodes } from './exitCodes.js';
 import type { ChangeConflict, ChangeOptions, ChangePlan, ChangeReport } from './Types.js';
 
--- a/src/cli/commands/PresetCheckCommand.ts
+++ b/src/cli/commands/PresetCheckCommand.ts
@@ -5,7 +5,7 @@
 import { measureCapacities } from '../capacities.js';
 import { readConfigurationFile } from '../ConfigurationFile.js';
 import type { ConfigurationDraft, ExpectedCapacity } from '../ConfigurationFile.js';
-import { emptyContent } from '../emptyContent.js';
+import { emptyContent } from '../../common/configuration/emptyContent.js';
 import { writeDraft } from '../edits.js';
 import { exitCodes } from '../exitCodes.js';
 import type { ExitCode } from '../exitCodes.js';
--- a/src/cli/commands/RevisionShowCommand.ts
+++ b/src/cli/commands/RevisionShowCommand.ts
@@ -3,7 +3,7 @@
 import type { Revision } from '../../common/base/index.js';
 import { integer } from '../../common/settings/index.js';
 import { compareConfigurations, formatChanges } from '../configurationDiff.js';
-import { emptyContent } from '../emptyContent.js';
+import { emptyContent } from '../../common/configuration/emptyContent.js';
 import { exitCodes } from '../exitCodes.js';
 import type { ExitCode } from '../exitCodes.js';
 import { OperatorCommand } from '../OperatorCommand.js';
--- a/src/cli/presetCheck.test.ts
+++ b/src/cli/presetCheck.test.ts
@@ -3,7 +3,7 @@
 import { isLeft, isRight } from 'fp-ts/lib/Either.js';
 import { formatPreset, readConfigurationFile } from './ConfigurationFile.js';
 import type { ConfigurationDraft } from './ConfigurationFile.js';
-import { emptyContent } from './emptyContent.js';
+import { emptyContent } from '../common/configuration/emptyContent.js';
 import { writeDraft } from './edits.js';
 import { checkPresets, compareLimits } from './presetCheck.js';
 
--- a/src/common/configuration/ConfigurationCodec.test.ts
+++ b/src/common/configuration/ConfigurationCodec.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { isLeft } from 'fp-ts/lib/Either.js';
-import { sha256 } from '../../bench/simulation/ConfigurationFleet.js';
+import { sha256 } from '../../node/sha256.js';
 import { createContent } from '../../bench/simulation/Documents.js';
 import { brandAs } from '../base/index.js';
 import type { AccountId, Revision } from '../base/index.js';
--- a/src/common/configuration/ConfigurationState.test.ts
+++ b/src/common/configuration/ConfigurationState.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { sha256 } from '../../bench/simulation/ConfigurationFleet.js';
+import { sha256 } from '../../node/sha256.js';
 import { createContent } from '../../bench/simulation/Documents.js';
 import { brandAs } from '../base/index.js';
 import type { Revision } from '../base/index.js';
--- a/src/common/configuration/ConfigurationTask.test.ts
+++ b/src/common/configuration/ConfigurationTask.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
-import { ConfigurationFleet, sha256 } from '../../bench/simulation/ConfigurationFleet.js';
+import { ConfigurationFleet } from '../../bench/simulation/ConfigurationFleet.js';
+import { sha256 } from '../../node/sha256.js';
 import { createContent } from '../../bench/simulation/Documents.js';
 import { FakeStore } from '../../bench/simulation/FakeStore.js';
 import { VirtualClock, brandAs, createRandom } from '../base/index.js';
--- a/src/common/configuration/StoreConfigurationEditor.test.ts
+++ b/src/common/configuration/StoreConfigurationEditor.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { FakeStore } from '../../bench/simulation/FakeStore.js';
-import { sha256 } from '../../bench/simulation/ConfigurationFleet.js';
+import { sha256 } from '../../node/sha256.js';
 import { createContent } from '../../bench/simulation/Documents.js';
 import { InvalidInputError, StoreError, brandAs } from '../base/index.js';
 import type { PresetName, Revision } from '../base/index.js';
--- a/src/common/configuration/StoreConfigurationEditor.ts
+++ b/src/common/configuration/StoreConfigurationEditor.ts
@@ -15,6 +15,7 @@
   historyPrefix,
   historyLength,
 } from './ConfigurationKeys.js';
+import { emptyContent } from './emptyContent.js';
 import { validateConfiguration } from './ConfigurationValidation.js';
 import type {
   ChangeNote,
@@ -34,16 +35,7 @@
 /** Attempts to read a snapshot while others change the configuration. */
 const readAttempts = 3;
 
-const emptyConfiguration: Configuration = {
-  revision: brandAs<Revision>(0),
-  preset: brandAs<PresetName>(''),
-  services: [],
-  routes: [],
-  accounts: [],
-  presets: [],
-  pauses: [],
-  holds: [],
-};
+const emptyConfiguration: Configuration = { ...emptyContent, revision: brandAs<Revision>(0) };
 
 /** Operators' reads and writes of the configuration through the `Store` interface. */
 export class StoreConfigurationEditor implements ConfigurationEditor {
--- a/src/cli/emptyContent.ts
+++ b/src/common/configuration/emptyContent.ts
@@ -1,6 +1,6 @@
-import { brandAs } from '../common/base/index.js';
-import type { PresetName } from '../common/base/index.js';
-import type { ConfigurationContent } from '../common/configuration/Types.js';
+import { brandAs } from '../base/index.js';
+import type { PresetName } from '../base/index.js';
+import type { ConfigurationContent } from './Types.js';
 
 /** Configuration of a fleet that has none yet. */
 export const emptyContent: ConfigurationContent = {
--- a/src/common/membership/FailureDetector.test.ts
+++ b/src/common/membership/FailureDetector.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { PausableClock } from '../../bench/simulation/PausableClock.js';
+import { PausableClock } from '../../bench/PausableClock.js';
 import { VirtualClock, brandAs, createRandom } from '../base/index.js';
 import type { DaemonId, DataCentre, Incarnation, Region } from '../base/index.js';
 import { FailureDetector } from './FailureDetector.js';
--- a/src/daemon/AdminServer.ts
+++ b/src/daemon/AdminServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { once } from 'node:events';
 import type { Disposable } from '../api/index.js';
+import { listen } from '../node/listen.js';
 import { sendText } from './Responses.js';
 
 /** Handles one path of the admin endpoint. */
@@ -30,12 +30,8 @@
   }
 
   /** Binds to `host:port` and returns the port. */
-  public async listen(address: string): Promise<number> {
-    const [host = '', port = ''] = address.split(/:(?=\d+$)/);
-    this.server.listen(Number(port), host);
-    await once(this.server, 'listening');
-    const bound = this.server.address();
-    return typeof bound === 'object' && bound !== null ? bound.port : Number(port);
+  public listen(address: string): Promise<number> {
+    return listen(this.server, address);
   }
 
   public dispose(): void {
--- a/src/daemon/Forwarder.ts
+++ b/src/daemon/Forwarder.ts
@@ -44,8 +44,6 @@
   readonly log: LogSink;
   /** Home with this id: the local one or a client of a peer. */
   readonly homeOf: (daemon: DaemonId) => Home;
-  /** Tells how the path to a home did: milliseconds that the hop added, or undefined if it failed. */
-  readonly onPath?: (daemon: DaemonId, added: number | undefined) => void;
 }
 
 const maxAttempts = 3;
--- a/src/daemon/HttpFront.ts
+++ b/src/daemon/HttpFront.ts
@@ -19,6 +19,7 @@
   type RouteDocument,
 } from '../api/index.js';
 import { isIdempotent, type RouteTable } from '../common/routing/RouteTable.js';
+import { listen } from '../node/listen.js';
 import type { Forwarder, RoutedRequest } from './Forwarder.js';
 import {
   createAnswerHeaders,
@@ -105,8 +106,6 @@
 
   private isDraining = false;
 
-  private active = 0;
-
   public constructor(private readonly settings: HttpFrontSettings) {
     this.server = createServer(
       {
@@ -127,18 +126,9 @@
     });
   }
 
-  /** Requests that have not been answered yet. */
-  public get running(): number {
-    return this.active;
-  }
-
   /** Binds to `host:port` and returns the port. */
-  public async listen(address: string): Promise<number> {
-    const [host = '', port = ''] = address.split(/:(?=\d+$)/);
-    this.server.listen(Number(port), host);
-    await once(this.server, 'listening');
-    const bound = this.server.address();
-    return typeof bound === 'object' && bound !== null ? bound.port : Number(port);
+  public listen(address: string): Promise<number> {
+    return listen(this.server, address);
   }
 
   /** Fails readiness and closes each connection after its next answer. */
@@ -172,10 +162,6 @@
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.active += 1;
-    response.once('close', () => {
-      this.active -= 1;
-    });
     if (this.isDraining) response.setHeader('connection', 'close');
     const headers = pairHeaders(request.rawHeaders);
     const checked = checkRequest(request, headers);
--- a/src/daemon/LocalHome.ts
+++ b/src/daemon/LocalHome.ts
@@ -10,7 +10,6 @@
   type ServiceName,
   type TargetAnnouncement,
   type TargetId,
-  type TargetLoad,
   type TargetOutcome,
 } from '../api/index.js';
 import { CostModel } from '../common/admission/CostModel.js';
@@ -109,11 +108,6 @@
     this.closed.delete(id);
   }
 
-  /** Present load of a target; undefined if it is not hosted here. */
-  public loadOf(id: TargetId): TargetLoad | undefined {
-    return this.targets.get(id)?.gate.load;
-  }
-
   public async forward(request: ForwardRequest, signal: AbortSignal): Promise<ForwardAnswer> {
     const started = this.clock.elapsed();
     const target = this.find(request);
--- a/src/node/freePorts.ts
+++ b/src/node/freePorts.ts
@@ -1,15 +1,13 @@
 import { once } from 'node:events';
 import { createServer } from 'node:net';
+import { listen } from './listen.js';
 
 /** Finds `count` free ports on loopback. */
 export async function findFreePorts(count: number): Promise<number[]> {
   const servers = Array.from({ length: count }, () => createServer());
   const ports: number[] = [];
   for (const server of servers) {
-    server.listen(0, '127.0.0.1');
-    await once(server, 'listening');
-    const address = server.address();
-    if (typeof address === 'object' && address !== null) ports.push(address.port);
+    ports.push(await listen(server, '127.0.0.1:0'));
   }
   await Promise.all(
     servers.map(async (server) => {
--- a/src/target/TargetServer.ts
+++ b/src/target/TargetServer.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { setTimeout as delay } from 'node:timers/promises';
 import { createRandom, type RandomSource } from '../api/index.js';
+import { listen } from '../node/listen.js';
 import { noFault, type FaultSettings, type TargetSettings } from './Types.js';
 
 const coldFactor = 2;
@@ -64,12 +65,8 @@
   }
 
   /** Starts to listen and returns the port. */
-  public async listen(): Promise<number> {
-    const [host = '127.0.0.1', port = '0'] = this.settings.listen.split(':');
-    this.server.listen(Number(port), host);
-    await once(this.server, 'listening');
-    const address = this.server.address();
-    return typeof address === 'object' && address !== null ? address.port : Number(port);
+  public listen(): Promise<number> {
+    return listen(this.server, this.settings.listen);
   }
 
   /** Ends at once and cuts every connection, as a crash of the process does. */
