--- a/src/common/base/Errors.ts
+++ b/src/common/base/Errors.ts
@@ -50,6 +50,7 @@
   | 'limit'
   | 'draining'
   | 'not-home'
+  | 'suspect'
   | 'quarantined'
   | 'store-away'
   | 'connect-failed'
--- /dev/null
+++ b/src/common/dispatch/Placement.ts
@@ -0,0 +1,114 @@
+import type { Location } from '../services/Types.js';
+import type { RandomSource } from '../base/index.js';
+import { fadeOdds, probabilityOf, unknownOdds } from '../health/SicknessFilter.js';
+import type { Candidate, IncomingCall } from './Types.js';
+
+/** Milliseconds that a hop to another data centre of the region adds; its bytes are paid too. */
+const dataCentreCost = 4;
+/** Milliseconds of a hop to the other region and back. */
+const regionDelay = 40;
+/** Milliseconds of wait that are accepted to keep one kilobyte off the link between regions. */
+const regionCostPerKilobyte = 60;
+/** Milliseconds within which two targets count as equal, so that entries do not all choose the same one. */
+const tieRange = 15;
+/** Milliseconds after which a reported load tells half as much. */
+const loadHalfLife = 700;
+/** Part of the mean work that a full target costs, even with a free slot: targets slow down when nearly full. */
+const crowdingCost = 0.5;
+/** A lost request that cannot be repeated costs this many times the latency that the operators ask for. */
+const lossCost = 3;
+/** Share of repeatable requests that ask a doubtful target, to learn of its recovery. */
+const scoutShare = 0.2;
+/** Targets above this probability of sickness are worth a scout, below the other one too little is unknown. */
+const scoutRange = { lowest: 0.1, highest: 0.85 } as const;
+
+/** A candidate with what a request is expected to pay there. */
+export interface Offer {
+  readonly candidate: Candidate;
+  /** Expected cost in milliseconds. */
+  readonly cost: number;
+  /** Milliseconds until a slot is expected to be free. */
+  readonly wait: number;
+  /** Probability that the target is sick. */
+  readonly sickness: number;
+  readonly isRemote: boolean;
+}
+
+/** Expected wait for a slot in milliseconds, from the last report of the home and own requests since. */
+function expectedWait({ slots, inFlight, condition, age }: Candidate): number {
+  if (condition === undefined) return inFlight < slots ? 0 : inFlight * 100;
+  const trust = 0.5 ** (age / loadHalfLife);
+  const reported = condition.running + condition.queued;
+  const busy = Math.max(inFlight, reported * trust);
+  const excess = busy + 1 - slots;
+  return excess > 0 ? (excess * condition.work) / slots : 0;
+}
+
+/** Load of the slots between 0 and 1. */
+function occupancy({ slots, inFlight, condition, age }: Candidate): number {
+  const reported = condition === undefined ? 0 : condition.running * 0.5 ** (age / loadHalfLife);
+  return Math.min(1, Math.max(inFlight, reported) / Math.max(1, slots));
+}
+
+/** Facts of a request that decide what a place costs. */
+export interface PlacementFacts {
+  readonly call: IncomingCall;
+  /** Kilobytes that the answer is expected to have. */
+  readonly kilobytes: number;
+  /** Milliseconds after which a repeatable request is asked elsewhere. */
+  readonly hedgeDelay: number;
+}
+
+/**
+ * Orders targets by what a request is expected to pay: wait, crowding, distance, and the loss if the target is sick.
+ * Answers the load in which some targets hang at any time while the others have room.
+ */
+export class Placement {
+  public constructor(
+    private readonly here: Location,
+    private readonly random: RandomSource,
+  ) {}
+
+  /** Weighs the candidates, cheapest first. */
+  public rank(candidates: readonly Candidate[], facts: PlacementFacts): Offer[] {
+    const offers = candidates.map((candidate) => this.weigh(candidate, facts));
+    offers.sort((left, right) => left.cost - right.cost);
+    return facts.call.route.isRepeatable ? this.scout(offers) : offers;
+  }
+
+  private weigh(candidate: Candidate, { call, kilobytes, hedgeDelay }: PlacementFacts): Offer {
+    const wait = expectedWait(candidate);
+    const sickness = probabilityOf(
+      candidate.condition === undefined
+        ? unknownOdds
+        : fadeOdds(candidate.condition.sickness, candidate.age),
+    );
+    const work = candidate.condition?.work ?? 0;
+    const loss = call.route.isRepeatable ? hedgeDelay : lossCost * call.route.goal;
+    const isRemote = candidate.region !== this.here.region;
+    const cost =
+      wait +
+      occupancy(candidate) * work * crowdingCost +
+      sickness * loss +
+      this.distance(candidate, kilobytes) +
+      this.random() * tieRange;
+    return { candidate, cost, wait, sickness, isRemote };
+  }
+
+  private distance({ region, dataCentre }: Candidate, kilobytes: number): number {
+    if (region !== this.here.region) return regionDelay + kilobytes * regionCostPerKilobyte;
+    return dataCentre === this.here.dataCentre ? 0 : dataCentreCost;
+  }
+
+  /** Puts a doubtful target of this region first for some requests that another target can answer as well. */
+  private scout(offers: Offer[]): Offer[] {
+    if (this.random() >= scoutShare) return offers;
+    const doubtful = offers.filter(
+      ({ sickness, isRemote, wait }) =>
+        !isRemote && wait === 0 && sickness > scoutRange.lowest && sickness < scoutRange.highest,
+    );
+    const [chosen] = doubtful.sort((left, right) => right.candidate.age - left.candidate.age);
+    if (chosen === undefined) return offers;
+    return [chosen, ...offers.filter((offer) => offer !== chosen)];
+  }
+}
--- /dev/null
+++ b/src/common/dispatch/RouteMemory.ts
@@ -0,0 +1,45 @@
+import { RouteTimes } from '../health/RouteTimes.js';
+import type { TrafficRoute } from '../routing/TrafficTypes.js';
+
+/** Kilobytes that an answer is assumed to have before the first one of its route. */
+const assumedKilobytes = 4;
+/** Weight of the newest answer in the mean size. */
+const sizeWeight = 0.1;
+/** Bytes of headers that travel with each request and answer between daemons. */
+const headerBytes = 1_000;
+const bytesPerKilobyte = 1_000;
+
+/** What was learned of one route. */
+export interface RouteRecord {
+  readonly times: RouteTimes;
+  /** Mean kilobytes of a request with its answer. */
+  kilobytes: number;
+}
+
+/** Latencies and sizes of routes; those of routes that are gone are dropped. */
+export class RouteMemory {
+  private readonly records = new Map<string, RouteRecord>();
+
+  /** Returns what is known of a route. */
+  public of({ name, goal }: Pick<TrafficRoute, 'name' | 'goal'>): RouteRecord {
+    let record = this.records.get(name);
+    if (record === undefined) {
+      record = { times: new RouteTimes(goal), kilobytes: assumedKilobytes };
+      this.records.set(name, record);
+    }
+    return record;
+  }
+
+  /** Learns the size of a request and its answer in bytes. */
+  public recordSize(route: Pick<TrafficRoute, 'name' | 'goal'>, bytes: number): void {
+    const record = this.of(route);
+    record.kilobytes += sizeWeight * ((bytes + headerBytes) / bytesPerKilobyte - record.kilobytes);
+  }
+
+  /** Keeps only the routes that still exist. */
+  public retain(names: ReadonlySet<string>): void {
+    this.records.forEach((_, name) => {
+      if (!names.has(name)) this.records.delete(name);
+    });
+  }
+}
--- /dev/null
+++ b/src/common/fleet/FleetDirectory.ts
@@ -0,0 +1,188 @@
+import type { Clock, DaemonId, LogSink, ServiceName, TargetId } from '../base/index.js';
+import type { Candidate, TargetCondition } from '../dispatch/Types.js';
+import type { DaemonRecord, PublishedTarget } from './Types.js';
+
+/** Milliseconds after which a daemon that is missing in the store and not in use counts as gone. */
+const unlistedLimit = 8_000;
+/** Milliseconds for which a daemon that could not be reached is not tried again. */
+const firstRest = 500;
+const longestRest = 4_000;
+
+/** Another daemon as this one knows it. */
+interface Peer {
+  record: DaemonRecord;
+  /** Absent while the daemon stands in the store. */
+  unlistedAt: number | undefined;
+  /** Last time at which it answered. */
+  reachedAt: number;
+  failures: number;
+  restUntil: number;
+}
+
+interface TargetNote {
+  inFlight: number;
+  condition: TargetCondition | undefined;
+  learnedAt: number;
+}
+
+/** Daemons and targets of the fleet: listed by the store, checked by use. */
+export class FleetDirectory {
+  private readonly peers = new Map<DaemonId, Peer>();
+
+  private readonly notes = new Map<TargetId, TargetNote>();
+
+  public constructor(
+    private readonly clock: Clock,
+    private readonly log: LogSink,
+  ) {}
+
+  /** Number of daemons that are known. */
+  public get size(): number {
+    return this.peers.size;
+  }
+
+  /** Records of all known daemons. */
+  public get records(): readonly DaemonRecord[] {
+    return [...this.peers.values()].map(({ record }) => record);
+  }
+
+  /** Takes the list of the store; who is missing there stays in use for a while. */
+  public replaceAll(records: readonly DaemonRecord[]): void {
+    const listed = new Set(records.map(({ daemon }) => daemon));
+    this.peers.forEach((_, daemon) => {
+      if (!listed.has(daemon)) this.unlist(daemon);
+    });
+    records.forEach((record) => this.put(record));
+  }
+
+  /** Takes the newest record of a daemon. */
+  public put(record: DaemonRecord): void {
+    const known = this.peers.get(record.daemon);
+    const isRestarted = known?.record.incarnation !== record.incarnation;
+    if (known === undefined || isRestarted) {
+      this.write('a daemon has joined', record);
+      this.peers.set(record.daemon, {
+        record,
+        unlistedAt: undefined,
+        reachedAt: this.clock.elapsed(),
+        failures: 0,
+        restUntil: 0,
+      });
+    } else {
+      known.record = record;
+      known.unlistedAt = undefined;
+    }
+  }
+
+  /** The store lists the daemon no longer. */
+  public unlist(daemon: DaemonId): void {
+    const peer = this.peers.get(daemon);
+    if (peer === undefined || peer.unlistedAt !== undefined) return;
+    peer.unlistedAt = this.clock.elapsed();
+    this.write('a daemon is missing in the store', peer.record);
+  }
+
+  /** Drops daemons that are neither listed nor reached. */
+  public prune(): void {
+    const now = this.clock.elapsed();
+    this.peers.forEach((peer, daemon) => {
+      const { unlistedAt, reachedAt, record } = peer;
+      if (unlistedAt === undefined) return;
+      if (now - Math.max(unlistedAt, reachedAt) < unlistedLimit) return;
+      this.peers.delete(daemon);
+      record.targets.forEach(({ id }) => this.notes.delete(id));
+      this.write('a daemon is gone', record);
+    });
+  }
+
+  /** The daemon has answered. */
+  public noteReached(daemon: DaemonId): void {
+    const peer = this.peers.get(daemon);
+    if (peer === undefined) return;
+    if (peer.failures > 0) this.write('a daemon is reached again', peer.record);
+    peer.reachedAt = this.clock.elapsed();
+    peer.failures = 0;
+    peer.restUntil = 0;
+  }
+
+  /** The daemon could not be reached and gets a pause that grows. */
+  public noteUnreachable(daemon: DaemonId): void {
+    const peer = this.peers.get(daemon);
+    if (peer === undefined) return;
+    peer.failures += 1;
+    if (peer.failures === 1) this.write('a daemon is not reached', peer.record);
+    const rest = Math.min(longestRest, firstRest * 2 ** (peer.failures - 1));
+    peer.restUntil = this.clock.elapsed() + rest;
+  }
+
+  /** Learns the condition of a target from its home. */
+  public noteCondition(target: TargetId, condition: TargetCondition): void {
+    const note = this.noteOf(target);
+    note.condition = condition;
+    note.learnedAt = this.clock.elapsed();
+  }
+
+  /** Raises the suspicion of a target by what this daemon has seen itself. */
+  public suspect(target: TargetId, sickness: number): void {
+    const note = this.noteOf(target);
+    if (note.condition === undefined || note.condition.sickness >= sickness) return;
+    note.condition = { ...note.condition, sickness };
+    note.learnedAt = this.clock.elapsed();
+  }
+
+  /** Counts a request that is sent to a target (+1) or has ended there (-1). */
+  public count(target: TargetId, change: 1 | -1): void {
+    const note = this.noteOf(target);
+    note.inFlight = Math.max(0, note.inFlight + change);
+  }
+
+  /** Targets of a service that may be tried now. */
+  public candidates(service: ServiceName): Candidate[] {
+    const now = this.clock.elapsed();
+    const found: Candidate[] = [];
+    this.peers.forEach(({ record, restUntil }) => {
+      if (record.state === 'leaving' || restUntil > now) return;
+      record.targets.forEach((target) => {
+        if (target.service === service && target.state === 'ready') {
+          found.push(this.createCandidate(record, target, now));
+        }
+      });
+    });
+    return found;
+  }
+
+  private createCandidate(record: DaemonRecord, target: PublishedTarget, now: number): Candidate {
+    const note = this.noteOf(target.id);
+    return {
+      daemon: record.daemon,
+      address: record.address,
+      region: record.region,
+      dataCentre: record.dataCentre,
+      target: target.id,
+      incarnation: target.incarnation,
+      slots: target.slots,
+      inFlight: note.inFlight,
+      condition: note.condition,
+      age: now - note.learnedAt,
+    };
+  }
+
+  private noteOf(target: TargetId): TargetNote {
+    let note = this.notes.get(target);
+    if (note === undefined) {
+      note = { inFlight: 0, condition: undefined, learnedAt: 0 };
+      this.notes.set(target, note);
+    }
+    return note;
+  }
+
+  private write(message: string, record: DaemonRecord): void {
+    const { daemon, incarnation, address } = record;
+    this.log.write({
+      level: 'info',
+      kind: 'membership',
+      message,
+      fields: { step: 'fleet', daemon, incarnation, address, known: this.peers.size },
+    });
+  }
+}
--- a/src/common/routing/RouteTable.ts
+++ b/src/common/routing/RouteTable.ts
@@ -10,6 +10,9 @@
   readonly path: string;
 }
 
+/** The part of a route that decides which requests it takes. */
+export type RouteMatch = Pick<RouteDocument, 'host' | 'path' | 'methods'>;
+
 const anyHost = '*';
 const idempotentMethods: ReadonlySet<string> = new Set([
   'GET',
@@ -30,7 +33,7 @@
   return prefix.endsWith('/') || path.length === prefix.length || path[prefix.length] === '/';
 }
 
-function compareBySpecificity(left: RouteDocument, right: RouteDocument): number {
+function compareBySpecificity(left: RouteMatch, right: RouteMatch): number {
   const byPath = right.path.length - left.path.length;
   if (byPath !== 0) return byPath;
   return (right.methods === undefined ? 0 : 1) - (left.methods === undefined ? 0 : 1);
@@ -40,17 +43,17 @@
  * Finds the route of a request. A route that names the host goes before one without a host, then the
  * longest path prefix wins, then a route that names methods goes before one that does not.
  */
-export class RouteTable {
+export class RouteTable<Route extends RouteMatch = RouteDocument> {
   /** Routes by host and first path segment, so that a look-up reads few of some thousand routes. */
-  private readonly buckets = new Map<string, RouteDocument[]>();
+  private readonly buckets = new Map<string, Route[]>();
 
-  public constructor(routes: readonly RouteDocument[]) {
+  public constructor(routes: readonly Route[]) {
     routes.forEach((route) => this.add(route));
     this.buckets.forEach((bucket) => bucket.sort(compareBySpecificity));
   }
 
   /** Returns the route that fits best, or none. */
-  public find(query: RouteQuery): O.Option<RouteDocument> {
+  public find(query: RouteQuery): O.Option<Route> {
     const keys = [
       RouteTable.bucketKey(query.host, query.path),
       RouteTable.bucketKey(query.host, '/'),
@@ -64,7 +67,7 @@
     return O.none;
   }
 
-  private static fits(route: RouteDocument, query: RouteQuery): boolean {
+  private static fits(route: RouteMatch, query: RouteQuery): boolean {
     const acceptsMethod = route.methods === undefined || route.methods.includes(query.method);
     return acceptsMethod && matchesPath(route.path, query.path);
   }
@@ -74,7 +77,7 @@
     return `${host}/${segment}`;
   }
 
-  private add(route: RouteDocument): void {
+  private add(route: Route): void {
     const key = RouteTable.bucketKey(route.host?.toLowerCase() ?? anyHost, route.path);
     const bucket = this.buckets.get(key);
     if (bucket === undefined) this.buckets.set(key, [route]);
--- a/src/daemon/ConfigurationDistribution.ts
+++ b/src/daemon/ConfigurationDistribution.ts
@@ -67,7 +67,7 @@
 
   private recording: Disposable | undefined;
 
-  private routeTable = new RouteTable([]);
+  private routeTable: RouteTable = new RouteTable([]);
 
   private readonly limits = new Map<ServiceName, ServiceLimits>();
 
--- /dev/null
+++ b/src/sidecar/CallerServer.ts
@@ -0,0 +1,308 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { once } from 'node:events';
+import { pipeline } from 'node:stream/promises';
+import type { Socket } from 'node:net';
+import * as E from 'fp-ts/lib/Either.js';
+import {
+  brandAs,
+  FleetError,
+  NotRunError,
+  type Clock,
+  type Disposable,
+  type LogSink,
+  type RandomSource,
+  type RequestId,
+} from '../api/index.js';
+import type { Dispatcher } from '../common/dispatch/Dispatcher.js';
+import {
+  DeadlineError,
+  HomeRefusalError,
+  type IncomingCall,
+  type TargetAnswer,
+} from '../common/dispatch/Types.js';
+import { choosePart, type TrafficRoute } from '../common/routing/TrafficTypes.js';
+import { dropHopByHop, findHeader, pairHeaders } from '../daemon/Headers.js';
+import { checkRequest, type CheckedRequest } from '../daemon/RequestCheck.js';
+import { sendText } from '../daemon/Responses.js';
+import { listen } from '../node/listen.js';
+import type { TrafficState } from './TrafficState.js';
+import type { HeaderVocabulary } from './Types.js';
+
+/** Bytes of a head before the configuration tells its own limit. */
+const maxHeaderSize = 64 * 1024;
+/** Milliseconds of `Retry-After` when a refusal does not tell one. */
+const defaultRetryAfter = 500;
+/** Least and greatest `Retry-After` in milliseconds. */
+const retryAfterBounds = { least: 100, greatest: 5_000 } as const;
+const millisecondsPerSecond = 1_000;
+/** A stopping server closes idle connections this often, in milliseconds. */
+const closeInterval = 500;
+
+const parserErrors: Readonly<Record<string, readonly [number, string]>> = {
+  HPE_HEADER_OVERFLOW: [431, 'Request Header Fields Too Large'],
+  ERR_HTTP_REQUEST_TIMEOUT: [408, 'Request Timeout'],
+};
+
+/** End of one request, for metrics. */
+export interface CallEnd {
+  readonly service: string;
+  readonly route: string;
+  readonly status: number;
+  /** Milliseconds. */
+  readonly duration: number;
+}
+
+/** What the server depends on. */
+export interface CallerServerSettings {
+  readonly names: HeaderVocabulary;
+  /** Service of this VM, told to the targets. */
+  readonly service: string;
+  readonly traffic: TrafficState;
+  readonly dispatcher: Pick<Dispatcher, 'dispatch'>;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: LogSink;
+  readonly onEnd: (end: CallEnd) => void;
+}
+
+async function readBody(request: IncomingMessage, limit: number): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of request) {
+    size += (chunk as Buffer).length;
+    if (size > limit) {
+      throw new RangeError(`body over ${limit} bytes`);
+    }
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks);
+}
+
+/** Takes the requests of the callers on this VM. */
+export class CallerServer implements Disposable {
+  private readonly server: Server;
+
+  private isStopping = false;
+
+  private inFlight = 0;
+
+  public constructor(private readonly settings: CallerServerSettings) {
+    this.server = createServer({ maxHeaderSize, requestTimeout: 0 }, (request, response) => {
+      void this.handle(request, response);
+    });
+    // The parser would silently drop headers above its own limit; checkRequest refuses them instead.
+    this.server.maxHeadersCount = 0;
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      CallerServer.refuseMalformed(error, socket as Socket);
+    });
+    settings.traffic.onChange(() => this.applyLimits());
+    this.applyLimits();
+  }
+
+  /** Requests that have no whole answer yet. */
+  public get load(): number {
+    return this.inFlight;
+  }
+
+  /** Binds to `host:port` and returns the port. */
+  public listen(address: string): Promise<number> {
+    return listen(this.server, address);
+  }
+
+  /** Closes each connection after its next answer. */
+  public announceStop(): void {
+    this.isStopping = true;
+  }
+
+  /** Stops accepting and resolves when every request in flight has been answered. */
+  public async drain(): Promise<void> {
+    this.announceStop();
+    const closed = once(this.server, 'close');
+    this.server.close();
+    const timer = setInterval(() => this.server.closeIdleConnections(), closeInterval);
+    await closed;
+    clearInterval(timer);
+  }
+
+  public dispose(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private static refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const [status, text] = parserErrors[error.code ?? ''] ?? [400, 'Bad Request'];
+    socket.end(`HTTP/1.1 ${status} ${text}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+  }
+
+  private applyLimits(): void {
+    const { idleTimeout, headerTimeout } = this.settings.traffic.limits;
+    this.server.keepAliveTimeout = idleTimeout;
+    this.server.headersTimeout = headerTimeout;
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const started = this.settings.clock.elapsed();
+    const pairs = pairHeaders(request.rawHeaders);
+    const id = findHeader(pairs, this.settings.names.requestId) ?? '';
+    response.sendDate = false;
+    if (this.isStopping) response.setHeader('connection', 'close');
+    this.inFlight += 1;
+    response.once('close', () => {
+      this.inFlight -= 1;
+    });
+    let route: TrafficRoute | undefined;
+    let service = '';
+    try {
+      const checked = checkRequest(request, pairs);
+      if (E.isLeft(checked)) {
+        response.setHeader('connection', 'close');
+        sendText(response, checked.left.status, checked.left.message);
+        return;
+      }
+      route = this.findRoute(checked.right);
+      service = choosePart(route, this.settings.random) ?? '';
+      await this.serve(request, response, { id, pairs, route, service, started, ...checked.right });
+    } catch (error) {
+      this.fail(response, id, route, error);
+    } finally {
+      this.settings.onEnd({
+        service,
+        route: route?.name ?? '',
+        status: response.statusCode,
+        duration: this.settings.clock.elapsed() - started,
+      });
+    }
+  }
+
+  private findRoute({ host, path }: CheckedRequest): TrafficRoute {
+    const { traffic } = this.settings;
+    if (!traffic.isKnown) {
+      throw new NotRunError('store-away', 'no configuration is known yet', { step: 'entry.route' });
+    }
+    const route = traffic.find(host.replace(/:\d+$/, ''), path.split('?', 1)[0] ?? '/');
+    if (route === undefined) {
+      throw new NotRunError('no-route', 'no route for this host and path', { step: 'entry.route' });
+    }
+    return route;
+  }
+
+  private async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    facts: CheckedRequest & {
+      readonly id: string;
+      readonly pairs: ReturnType<typeof pairHeaders>;
+      readonly route: TrafficRoute;
+      readonly service: string;
+      readonly started: number;
+    },
+  ): Promise<void> {
+    const { names, traffic, dispatcher, clock } = this.settings;
+    const abort = new AbortController();
+    response.once('close', () => abort.abort());
+    const body =
+      facts.length === 0 ? Buffer.alloc(0) : await readBody(request, traffic.limits.maxBody);
+    const waited = clock.elapsed() - facts.started;
+    const wanted = Number(findHeader(facts.pairs, names.timeout) ?? facts.route.timeout);
+    const longest = wanted > 0 ? Math.min(wanted, facts.route.timeout) : facts.route.timeout;
+    const call: IncomingCall = {
+      id: brandAs<RequestId>(facts.id),
+      route: facts.route,
+      service: brandAs(facts.service),
+      method: request.method ?? 'GET',
+      path: facts.path,
+      headers: this.forwardedHeaders(facts.pairs, facts.host),
+      body,
+      timeout: longest - waited,
+    };
+    const answer = await dispatcher.dispatch(call, abort.signal);
+    await this.answer(response, answer, call.method);
+  }
+
+  private forwardedHeaders(
+    pairs: ReturnType<typeof pairHeaders>,
+    host: string,
+  ): (readonly [string, string])[] {
+    const { names, service } = this.settings;
+    const replaced = new Set([
+      'host',
+      'expect',
+      'content-length',
+      names.timeout,
+      names.expectedTarget,
+      names.callerService,
+    ]);
+    const kept = dropHopByHop(pairs).filter(([name]) => !replaced.has(name.toLowerCase()));
+    const headers: (readonly [string, string])[] = [['host', host], ...kept];
+    headers.push([names.callerService, service]);
+    return headers;
+  }
+
+  private async answer(
+    response: ServerResponse,
+    { status, headers, body }: TargetAnswer,
+    method: string,
+  ): Promise<void> {
+    if (!Buffer.isBuffer(body)) {
+      response.writeHead(
+        status,
+        headers.flatMap((pair) => [...pair]),
+      );
+      await pipeline(body, response);
+      return;
+    }
+    const isBodiless = method === 'HEAD' || status === 204 || status === 304;
+    const kept = headers.filter(([name]) => isBodiless || name.toLowerCase() !== 'content-length');
+    const flat = kept.flatMap((pair) => [...pair]);
+    if (!isBodiless) flat.push('content-length', String(body.length));
+    response.writeHead(status, flat);
+    response.end(body);
+  }
+
+  private fail(
+    response: ServerResponse,
+    id: string,
+    route: TrafficRoute | undefined,
+    error: unknown,
+  ): void {
+    const status = this.statusOf(error);
+    const retryAfter =
+      error instanceof HomeRefusalError
+        ? (error.details.retryAfter ?? defaultRetryAfter)
+        : defaultRetryAfter;
+    const { least, greatest } = retryAfterBounds;
+    const wait = Math.min(greatest, Math.max(least, retryAfter)) / millisecondsPerSecond;
+    this.settings.log.write({
+      level: status === 404 ? 'info' : 'warn',
+      kind: 'refusal',
+      message: error instanceof Error ? error.message : String(error),
+      fields: {
+        request: id,
+        route: route?.name,
+        status,
+        version: this.settings.traffic.version,
+        retryAfter: status === 503 ? wait : undefined,
+        step: error instanceof FleetError ? error.step : undefined,
+      },
+    });
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    if (status === 413) response.setHeader('connection', 'close');
+    const headers: Record<string, string> = {};
+    if (status === 503) headers['retry-after'] = wait.toFixed(2);
+    const text = error instanceof NotRunError ? error.reason : 'failed';
+    sendText(response, status, text, headers);
+  }
+
+  private statusOf(error: unknown): number {
+    if (error instanceof NotRunError) return error.reason === 'no-route' ? 404 : 503;
+    if (error instanceof RangeError) return 413;
+    return error instanceof DeadlineError ? 504 : 502;
+  }
+}
--- /dev/null
+++ b/src/sidecar/Home.ts
@@ -0,0 +1,388 @@
+import { PassThrough, pipeline } from 'node:stream';
+import { isLeft } from 'fp-ts/lib/Either.js';
+import {
+  Emitter,
+  type Clock,
+  type Disposable,
+  type LogSink,
+  type OutcomeKind,
+  type RefusalReason,
+  type TargetId,
+} from '../api/index.js';
+import { SlotQueue, type SlotPermit, type SlotRefusal } from '../common/admission/SlotQueue.js';
+import { RouteMemory } from '../common/dispatch/RouteMemory.js';
+import { HomeRefusalError, type TargetCondition } from '../common/dispatch/Types.js';
+import { TargetRegister, targetIncarnation } from '../common/fleet/TargetRegister.js';
+import type { PublishedTarget, TargetReport } from '../common/fleet/Types.js';
+import { logit, SicknessFilter, type RunningRequest } from '../common/health/SicknessFilter.js';
+import { TargetFailure } from '../daemon/TargetFailure.js';
+import { TargetLink, type StreamedAnswer } from './TargetLink.js';
+import type { BodyProvider, HeaderVocabulary, HomeOrder } from './Types.js';
+
+/** A request that cannot be repeated is not sent to a target that is more likely sick than this. */
+const suspectOdds = logit(0.5);
+/** Milliseconds between two looks at the requests that wait for a target. */
+const reviewInterval = 150;
+/** Milliseconds for which a target that refused a connection is left alone. */
+const downTime = 700;
+const firstServerError = 500;
+
+const refusalReasons: Readonly<Record<SlotRefusal['reason'], RefusalReason>> = {
+  busy: 'queue-full',
+  suspect: 'suspect',
+  draining: 'draining',
+  cancelled: 'cancelled',
+};
+
+/** A target of this VM with its admission and its health. */
+interface Hosted extends Disposable {
+  report: TargetReport;
+  readonly link: TargetLink;
+  readonly queue: SlotQueue;
+  readonly filter: SicknessFilter;
+  downUntil: number;
+}
+
+/** What a home depends on. */
+export interface HomeSettings {
+  /** `host:port` of the only target that may announce itself here. */
+  readonly address: string;
+  readonly service: string;
+  readonly names: HeaderVocabulary;
+  readonly clock: Clock;
+  readonly log: LogSink;
+}
+
+/** Home of the target on this VM: the only way to it, so that admission and draining are decided in one place. */
+export class Home implements Disposable {
+  private readonly register = new TargetRegister();
+
+  private readonly hosted = new Map<TargetId, Hosted>();
+
+  private readonly memory = new RouteMemory();
+
+  private readonly changeEmitter = new Emitter<void>();
+
+  private isLeaving = false;
+
+  private review: Disposable | undefined;
+
+  private inFlight = 0;
+
+  /** Fires when what the fleet must know of the targets has changed. */
+  public readonly onChange = this.changeEmitter.event;
+
+  public constructor(private readonly settings: HomeSettings) {}
+
+  /** Requests that run or wait here. */
+  public get load(): number {
+    return this.inFlight;
+  }
+
+  /** Targets as the fleet should see them. */
+  public get published(): readonly PublishedTarget[] {
+    return this.register.present.map((report) => ({
+      id: report.id,
+      incarnation: targetIncarnation(report),
+      service: report.service,
+      slots: report.slots,
+      state: report.state,
+    }));
+  }
+
+  /** Takes what a target says of itself; false if it is not a target of this VM. */
+  public announce(report: TargetReport): boolean {
+    if (report.address !== this.settings.address || report.service !== this.settings.service) {
+      this.write('warn', 'ignored the announcement of a target that is not beside this daemon', {
+        target: report.id,
+        address: report.address,
+        service: report.service,
+      });
+      return false;
+    }
+    const effect = this.register.record(report);
+    if (effect.type === 'stale') {
+      this.write('info', 'ignored an announcement that was overtaken', {
+        target: report.id,
+        sequence: report.sequence,
+        startedAt: report.startedAt,
+      });
+      return true;
+    }
+    this.apply(report, effect.type);
+    return true;
+  }
+
+  /** Takes the farewell of a target. */
+  public end(id: TargetId, startedAt?: number): void {
+    const report = this.register.end(id, startedAt);
+    this.write('info', 'a target has left', { target: id, startedAt, known: report !== undefined });
+    if (report === undefined) return;
+    const hosted = this.hosted.get(id);
+    this.hosted.delete(id);
+    hosted?.dispose();
+    this.changeEmitter.fire();
+  }
+
+  /** Takes no new requests; those that run are finished. */
+  public leave(): void {
+    this.isLeaving = true;
+    this.hosted.forEach(({ queue }) => queue.evict('draining', () => true));
+  }
+
+  /**
+   * Runs a request at its target. Throws `HomeRefusalError` if it was not run, else `OutcomeUnknownError`.
+   * `takeBody` is called when there is a slot.
+   */
+  public async run(
+    order: HomeOrder,
+    takeBody: BodyProvider,
+    signal: AbortSignal,
+  ): Promise<StreamedAnswer> {
+    this.inFlight += 1;
+    try {
+      const answer = await this.admit(order, takeBody, signal);
+      this.inFlight += 1;
+      answer.body.once('close', () => {
+        this.inFlight -= 1;
+      });
+      return answer;
+    } finally {
+      this.inFlight -= 1;
+    }
+  }
+
+  public dispose(): void {
+    this.review?.dispose();
+    this.hosted.forEach((hosted) => hosted.dispose());
+    this.hosted.clear();
+    this.changeEmitter.dispose();
+  }
+
+  private apply(report: TargetReport, type: string): void {
+    const known = this.hosted.get(report.id);
+    if (type === 'repeated' && known !== undefined) {
+      known.report = report;
+      return;
+    }
+    this.write('info', `target ${type}`, {
+      target: report.id,
+      state: report.state,
+      slots: report.slots,
+      startedAt: report.startedAt,
+      sequence: report.sequence,
+    });
+    if (known === undefined || type === 'replaced' || known.report.address !== report.address) {
+      known?.dispose();
+      this.hosted.set(report.id, this.host(report));
+    } else {
+      known.report = report;
+      known.queue.resize(report.slots);
+    }
+    if (report.state === 'draining') {
+      this.hosted.get(report.id)?.queue.evict('draining', () => true);
+    }
+    this.changeEmitter.fire();
+  }
+
+  private host(report: TargetReport): Hosted {
+    const { names, clock } = this.settings;
+    const { address, slots } = report;
+    const link = new TargetLink({ address, slots, names });
+    const queue = new SlotQueue(slots, clock);
+    return {
+      report,
+      link,
+      queue,
+      filter: new SicknessFilter(clock),
+      downUntil: 0,
+      dispose: () => {
+        queue.dispose();
+        link.dispose();
+      },
+    };
+  }
+
+  private async admit(
+    order: HomeOrder,
+    takeBody: BodyProvider,
+    signal: AbortSignal,
+  ): Promise<StreamedAnswer> {
+    const started = this.settings.clock.elapsed();
+    const hosted = this.find(order);
+    this.checkHealth(hosted, order);
+    this.scheduleReview();
+    const result = await hosted.queue.submit(order, signal);
+    if (isLeft(result)) {
+      const { reason, retryAfter } = result.left;
+      throw this.refuse(hosted, refusalReasons[reason], order, retryAfter);
+    }
+    const permit = result.right;
+    try {
+      const body = await takeBody();
+      // The target may have begun to drain while the body was on its way.
+      this.find(order);
+      if (signal.aborted) throw this.refuse(hosted, 'cancelled', order);
+      const left = order.timeout - (this.settings.clock.elapsed() - started);
+      return await this.send(hosted, order, body, Math.max(1, left), permit, signal);
+    } catch (error) {
+      permit.release();
+      throw error;
+    }
+  }
+
+  private find(order: HomeOrder): Hosted {
+    const hosted = this.hosted.get(order.target as TargetId);
+    if (hosted === undefined || targetIncarnation(hosted.report) !== order.incarnation) {
+      throw this.refuse(hosted, 'not-home', order);
+    }
+    if (this.isLeaving || hosted.report.state === 'draining') {
+      throw this.refuse(hosted, 'draining', order);
+    }
+    if (hosted.downUntil > this.settings.clock.elapsed()) {
+      throw this.refuse(hosted, 'connect-failed', order);
+    }
+    return hosted;
+  }
+
+  private checkHealth(hosted: Hosted, order: HomeOrder): void {
+    if (order.isRepeatable || order.isForced || hosted.filter.now < suspectOdds) return;
+    throw this.refuse(hosted, 'suspect', order);
+  }
+
+  private async send(
+    hosted: Hosted,
+    order: HomeOrder,
+    body: Buffer,
+    timeout: number,
+    permit: SlotPermit,
+    signal: AbortSignal,
+  ): Promise<StreamedAnswer> {
+    const { times } = this.memory.of({ name: order.route, goal: order.goal });
+    const running = hosted.filter.start(times);
+    try {
+      const answer = await hosted.link.send(order, body, timeout, signal);
+      return this.follow(hosted, order, answer, running, permit, signal);
+    } catch (failure) {
+      if (!(failure instanceof TargetFailure)) throw failure;
+      this.settle(hosted, order, running, failure.kind);
+      if (failure.error instanceof HomeRefusalError) {
+        const { reason, details } = failure.error;
+        throw this.refuse(hosted, reason, order, undefined, details.hasReachedTarget);
+      }
+      throw failure.error;
+    }
+  }
+
+  /** Passes the body on and takes its end as evidence. */
+  private follow(
+    hosted: Hosted,
+    order: HomeOrder,
+    answer: StreamedAnswer,
+    running: RunningRequest,
+    permit: SlotPermit,
+    signal: AbortSignal,
+  ): StreamedAnswer {
+    const body = new PassThrough();
+    pipeline(answer.body, body, (error) => {
+      permit.release();
+      const isCancelled = signal.aborted || error?.code === 'ERR_STREAM_PREMATURE_CLOSE';
+      const whole: OutcomeKind = answer.status >= firstServerError ? 'server-error' : 'success';
+      const cut: OutcomeKind = isCancelled ? 'cancelled' : 'truncated';
+      this.settle(hosted, order, running, error ? cut : whole);
+    });
+    return { ...answer, body, condition: this.conditionOf(hosted, -1) };
+  }
+
+  private settle(
+    hosted: Hosted,
+    order: HomeOrder,
+    running: RunningRequest,
+    kind: OutcomeKind,
+  ): void {
+    const { filter } = hosted;
+    if (kind === 'success') filter.succeed(running);
+    else if (kind === 'cancelled' || kind === 'timeout') filter.cancel(running);
+    else if (kind === 'shed') filter.refuse(running);
+    else filter.fail(running);
+    if (kind === 'connect-failed') hosted.downUntil = this.settings.clock.elapsed() + downTime;
+    if (kind === 'success') return;
+    this.write('info', `a request ended at the target: ${kind}`, {
+      request: order.id,
+      target: order.target,
+      route: order.route,
+      entry: order.entry,
+      took: Math.round(this.settings.clock.elapsed() - running.startedAt),
+      sickness: Number(filter.now.toFixed(2)),
+    });
+  }
+
+  private conditionOf({ queue, filter, report }: Hosted, change: number): TargetCondition {
+    return {
+      running: Math.max(0, queue.running + change),
+      queued: queue.queued,
+      slots: report.slots,
+      work: Math.round(queue.work),
+      sickness: Number(filter.now.toFixed(2)),
+    };
+  }
+
+  /** Looks again at the waiting requests while there are some: the target may have fallen sick meanwhile. */
+  private scheduleReview(): void {
+    if (this.review !== undefined) return;
+    this.review = this.settings.clock.after(reviewInterval, () => {
+      this.review = undefined;
+      let isNeeded = false;
+      this.hosted.forEach(({ queue, filter }) => {
+        if (queue.queued === 0) return;
+        isNeeded = true;
+        if (filter.now >= suspectOdds) queue.evict('suspect', ({ isRepeatable }) => !isRepeatable);
+      });
+      if (isNeeded) this.scheduleReview();
+    });
+  }
+
+  private refuse(
+    hosted: Hosted | undefined,
+    reason: RefusalReason,
+    order: HomeOrder,
+    retryAfter?: number,
+    hasReachedTarget?: boolean,
+  ): HomeRefusalError {
+    const condition = hosted === undefined ? undefined : this.conditionOf(hosted, 0);
+    this.settings.log.write({
+      level: 'info',
+      kind: 'refusal',
+      message: `the home refused a request: ${reason}`,
+      fields: {
+        step: 'home.admit',
+        request: order.id,
+        target: order.target,
+        route: order.route,
+        entry: order.entry,
+        patience: Math.round(order.patience),
+        retryAfter,
+        ...condition,
+      },
+    });
+    return new HomeRefusalError(
+      reason,
+      `the home refused: ${reason}`,
+      { step: 'home.admit', peer: order.target },
+      { condition, retryAfter, hasReachedTarget },
+    );
+  }
+
+  private write(
+    level: 'info' | 'warn',
+    message: string,
+    fields: Readonly<Record<string, string | number | boolean | undefined>>,
+  ): void {
+    this.settings.log.write({
+      level,
+      kind: 'placement',
+      message,
+      fields: { step: 'home', ...fields },
+    });
+  }
+}
--- /dev/null
+++ b/src/sidecar/HomeServer.ts
@@ -0,0 +1,157 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { buffer } from 'node:stream/consumers';
+import { pipeline } from 'node:stream';
+import type { Disposable, LogSink } from '../api/index.js';
+import { HomeRefusalError } from '../common/dispatch/Types.js';
+import { findHeader, pairHeaders } from '../daemon/Headers.js';
+import { listen } from '../node/listen.js';
+import type { Home } from './Home.js';
+import {
+  conditionHeader,
+  decodeOrder,
+  failureHeader,
+  orderHeader,
+  reachedHeader,
+  refusalHeader,
+  retryAfterHeader,
+  versionHeader,
+} from './peerHeaders.js';
+import type { HomeOrder } from './Types.js';
+
+/** Milliseconds for which an idle connection of another daemon is kept; entries drop theirs sooner. */
+const keepAliveTimeout = 60_000;
+/** Bytes of the headers of one request, the order included. */
+const maxHeaderSize = 96 * 1024;
+const refusedStatus = 503;
+const unknownStatus = 502;
+const badStatus = 400;
+
+/** Headers between two daemons only. */
+const internalHeaders: ReadonlySet<string> = new Set([
+  orderHeader,
+  'expect',
+  'connection',
+  'transfer-encoding',
+  'keep-alive',
+]);
+
+/** What the server depends on. */
+export interface HomeServerSettings {
+  readonly home: Pick<Home, 'run'>;
+  /** Configuration version in force here. */
+  readonly version: () => number;
+  /** Told the version by which an entry routed. */
+  readonly onVersion: (version: number) => void;
+  readonly log: LogSink;
+}
+
+/** Takes the orders of other daemons over HTTP/1.1. */
+export class HomeServer implements Disposable {
+  private readonly server: Server;
+
+  public constructor(private readonly settings: HomeServerSettings) {
+    const options = { keepAliveTimeout, maxHeaderSize, requestTimeout: 0, headersTimeout: 0 };
+    this.server = createServer(options, (request, response) => {
+      this.handle(request, response, false);
+    });
+    // The entry waits for `100 Continue` before it sends what cannot be repeated.
+    this.server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+      this.handle(request, response, true);
+    });
+    this.server.on('clientError', (_error, socket) => socket.destroy());
+  }
+
+  /** Binds to `host:port` and returns the port. */
+  public listen(address: string): Promise<number> {
+    return listen(this.server, address);
+  }
+
+  public dispose(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private handle(request: IncomingMessage, response: ServerResponse, isReserved: boolean): void {
+    const pairs = pairHeaders(request.rawHeaders);
+    const head = decodeOrder(findHeader(pairs, orderHeader));
+    response.sendDate = false;
+    response.on('error', () => response.destroy());
+    if (head === undefined) {
+      response.writeHead(badStatus, { 'content-length': 0 });
+      response.end();
+      return;
+    }
+    // The entry learns at once that this daemon lives, even if the answer takes seconds.
+    response.writeProcessing();
+    this.settings.onVersion(head.version);
+    const order: HomeOrder = {
+      ...head,
+      method: request.method ?? 'GET',
+      path: request.url ?? '/',
+      headers: pairs.filter(([name]) => !internalHeaders.has(name.toLowerCase())),
+    };
+    this.serve(order, request, response, isReserved).catch((error: unknown) => {
+      this.fail(order, request, response, error);
+    });
+  }
+
+  private async serve(
+    order: HomeOrder,
+    request: IncomingMessage,
+    response: ServerResponse,
+    isReserved: boolean,
+  ): Promise<void> {
+    const abort = new AbortController();
+    response.once('close', () => abort.abort());
+    const takeBody = (): Promise<Buffer> => {
+      if (isReserved) response.writeContinue();
+      return buffer(request);
+    };
+    const answer = await this.settings.home.run(order, takeBody, abort.signal);
+    const headers = [...answer.headers.flatMap((pair) => [...pair])];
+    headers.push(versionHeader, String(this.settings.version()));
+    if (answer.condition !== undefined) {
+      headers.push(conditionHeader, JSON.stringify(answer.condition));
+    }
+    response.writeHead(answer.status, headers);
+    pipeline(answer.body, response, (error) => {
+      // A cut body breaks the connection, so that it is never taken for a whole one.
+      if (error) response.destroy();
+    });
+  }
+
+  private fail(
+    order: HomeOrder,
+    request: IncomingMessage,
+    response: ServerResponse,
+    error: unknown,
+  ): void {
+    if (response.headersSent || response.destroyed) {
+      response.destroy();
+      return;
+    }
+    request.resume();
+    const headers: Record<string, string | number> = {
+      'content-length': 0,
+      [versionHeader]: this.settings.version(),
+    };
+    if (error instanceof HomeRefusalError) {
+      const { condition, retryAfter, hasReachedTarget } = error.details;
+      headers[refusalHeader] = error.reason;
+      if (condition !== undefined) headers[conditionHeader] = JSON.stringify(condition);
+      if (retryAfter !== undefined) headers[retryAfterHeader] = Math.round(retryAfter);
+      if (hasReachedTarget === true) headers[reachedHeader] = 1;
+      response.writeHead(refusedStatus, headers);
+    } else {
+      this.settings.log.write({
+        level: 'info',
+        kind: 'route',
+        message: String(error),
+        fields: { step: 'home.answer', request: order.id, target: order.target },
+      });
+      headers[failureHeader] = 1;
+      response.writeHead(unknownStatus, headers);
+    }
+    response.end();
+  }
+}
--- /dev/null
+++ b/src/sidecar/Settings.ts
@@ -0,0 +1,124 @@
+import { readFileSync } from 'node:fs';
+import { map, type Either } from 'fp-ts/lib/Either.js';
+import {
+  brandAs,
+  type DaemonId,
+  type DataCentre,
+  type InvalidInputError,
+  type LogLevel,
+  type Region,
+  type ServiceName,
+} from '../api/index.js';
+import {
+  address,
+  choice,
+  duration,
+  integer,
+  list,
+  name,
+  quantity,
+  required,
+  SettingsReader,
+  single,
+  withDefault,
+  type Settings,
+} from '../common/settings/index.js';
+
+/** Settings of a daemon that stands beside one target. */
+export interface SidecarSettings {
+  readonly id: DaemonId;
+  readonly region: Region;
+  readonly dataCentre: DataCentre;
+  /** Service of the target on this VM. */
+  readonly service: ServiceName;
+  /** `host:port` of the target on this VM. */
+  readonly target: string;
+  /** `host:port` for callers on this VM. */
+  readonly callers: string;
+  /** `host:port` for other daemons. */
+  readonly peer: string;
+  /** `host:port` where the platform asks whether this daemon takes work. */
+  readonly readiness: string;
+  /** `host:port` for the announcements of the target. */
+  readonly admin: string;
+  /** `host:port` of the metrics. */
+  readonly metrics: string;
+  /** `host:port` of the platform's store. */
+  readonly store: readonly string[];
+  /** Retries for each request, over the whole fleet. */
+  readonly retryRatio: number;
+  /** Retries of the whole fleet in each window that need no request. */
+  readonly retrySlack: number;
+  /** Milliseconds. */
+  readonly retryWindow: number;
+  /** Milliseconds between the signal to stop and the end of the process. */
+  readonly grace: number;
+  readonly logLevel: LogLevel;
+}
+
+const defaultWindow = 10_000;
+const defaultGrace = 6_000;
+const defaultRatio = 0.1;
+
+/** Plain number such as 0.2. */
+const ratio = () => quantity('a ratio such as 0.2 x', { x: 1 }, { greatest: 1 });
+
+const schema = {
+  daemon: single({
+    id: required(name()),
+    region: required(name()),
+    'data-centre': required(name()),
+    grace: withDefault(duration(), defaultGrace),
+  }),
+  target: single({ service: required(name()), address: required(address()) }),
+  listen: single({
+    callers: required(address()),
+    peer: required(address()),
+    readiness: required(address()),
+    admin: required(address()),
+    metrics: required(address()),
+  }),
+  store: single({ addresses: required(list(address())) }),
+  retries: single({
+    ratio: withDefault(ratio(), defaultRatio),
+    slack: withDefault(integer(), 0),
+    window: withDefault(duration(), defaultWindow),
+  }),
+  log: single({ level: withDefault(choice('debug', 'info', 'warn', 'error'), 'info') }),
+};
+
+/** Reads the content of a settings file; `file` is its name for messages. */
+export function parseSidecarSettings(
+  file: string,
+  content: string,
+): Either<InvalidInputError, SidecarSettings> {
+  const settings = new SettingsReader(schema).read(file, content);
+  return map(
+    ({
+      daemon,
+      target,
+      listen,
+      store,
+      retries,
+      log,
+    }: Settings<typeof schema>): SidecarSettings => ({
+      id: brandAs<DaemonId>(daemon.id),
+      region: brandAs<Region>(daemon.region),
+      dataCentre: brandAs<DataCentre>(daemon['data-centre']),
+      grace: daemon.grace,
+      service: brandAs<ServiceName>(target.service),
+      target: target.address,
+      ...listen,
+      store: store.addresses,
+      retryRatio: retries.ratio,
+      retrySlack: retries.slack,
+      retryWindow: retries.window,
+      logLevel: log.level,
+    }),
+  )(settings);
+}
+
+/** Reads a settings file; throws the error of the file system if it cannot be read. */
+export function readSidecarSettings(file: string): Either<InvalidInputError, SidecarSettings> {
+  return parseSidecarSettings(file, readFileSync(file, 'utf8'));
+}
--- /dev/null
+++ b/src/sidecar/Sidecar.ts
@@ -0,0 +1,377 @@
+import { isLeft, type Either } from 'fp-ts/lib/Either.js';
+import {
+  brandAs,
+  createIncarnation,
+  DisposableStore,
+  type Clock,
+  type DaemonId,
+  type Disposable,
+  type Incarnation,
+  type LogSink,
+  type RandomSource,
+  type StoreChange,
+  type StoreEntry,
+} from '../api/index.js';
+import { Dispatcher } from '../common/dispatch/Dispatcher.js';
+import { Placement } from '../common/dispatch/Placement.js';
+import { RouteMemory } from '../common/dispatch/RouteMemory.js';
+import type { Candidate, ForwardOrder, TargetAnswer } from '../common/dispatch/Types.js';
+import { decodeRecord, encodeRecord } from '../common/fleet/daemonRecords.js';
+import { FleetDirectory } from '../common/fleet/FleetDirectory.js';
+import { PrefixFollower } from '../common/fleet/PrefixFollower.js';
+import { Registration } from '../common/fleet/Registration.js';
+import type { DaemonRecord, PolledStore } from '../common/fleet/Types.js';
+import { SharedRetryBudget } from '../common/retry/SharedRetryBudget.js';
+import type { TrafficConfiguration } from '../common/routing/TrafficTypes.js';
+import { CallerServer } from './CallerServer.js';
+import { holdBody } from './holdBody.js';
+import { Home } from './Home.js';
+import { HomeServer } from './HomeServer.js';
+import { createOrderHead } from './peerHeaders.js';
+import { PeerLink } from './PeerLink.js';
+import type { SidecarSettings } from './Settings.js';
+import { SidecarMetrics } from './SidecarMetrics.js';
+import { TrafficState } from './TrafficState.js';
+import type { HeaderVocabulary } from './Types.js';
+
+const millisecondsPerSecond = 1_000;
+const randomRange = 0x1_0000_0000;
+/** Keys of the daemons of this fleet. */
+const fleetPrefix = 'limpettrack/daemons/';
+/** Seconds after which the record of a dead daemon disappears. */
+const leaseTime = 6;
+/** Milliseconds for which one poll of the store waits; each costs a call. */
+const pollWait = 15_000;
+/** Milliseconds of rest after a change of the fleet, so that a start of all daemons costs few calls. */
+const fleetRest = 700;
+/** Milliseconds between two looks for daemons that are gone. */
+const pruneInterval = 2_000;
+/** Milliseconds between two refreshes that peers with a newer configuration can cause. */
+const refreshInterval = 400;
+/** Milliseconds for which a stopping daemon still takes callers: two missed readiness checks and a reserve. */
+const notice = 3_200;
+/** Milliseconds that are kept at the end of the grace period. */
+const graceReserve = 400;
+
+/** Where the traffic configuration stands in the store, and how it reads. */
+export interface ConfigurationSource {
+  readonly key: string;
+  readonly decode: (value: Uint8Array) => Either<string, TrafficConfiguration>;
+}
+
+/** What a sidecar takes from its process and from the platform. */
+export interface SidecarEnvironment {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: LogSink;
+  readonly store: PolledStore;
+  readonly names: HeaderVocabulary;
+  readonly configuration: ConfigurationSource;
+}
+
+/** Daemon beside one target: wires the services and owns their life time. */
+export class Sidecar implements Disposable {
+  /** Home of the target on this VM. */
+  public readonly home: Home;
+
+  /** Metrics of this daemon. */
+  public readonly metrics: SidecarMetrics;
+
+  private readonly disposables = new DisposableStore();
+
+  private readonly traffic: TrafficState;
+
+  private readonly directory: FleetDirectory;
+
+  private readonly registration: Registration;
+
+  private readonly configurationFollower: PrefixFollower;
+
+  private readonly fleetFollower: PrefixFollower;
+
+  private readonly homeServer: HomeServer;
+
+  private readonly callerServer: CallerServer;
+
+  private readonly peers: PeerLink;
+
+  private readonly incarnation: Incarnation;
+
+  private isStopping = false;
+
+  private isFleetKnown = false;
+
+  private refreshedAt = -Infinity;
+
+  public constructor(
+    private readonly settings: SidecarSettings,
+    private readonly environment: SidecarEnvironment,
+  ) {
+    const { clock, random, log, names, store } = environment;
+    this.incarnation = createIncarnation(clock.now(), random() * randomRange);
+    this.traffic = new TrafficState(log);
+    this.directory = new FleetDirectory(clock, log);
+    this.home = this.disposables.add(
+      new Home({ address: settings.target, service: settings.service, names, clock, log }),
+    );
+    this.registration = this.disposables.add(
+      new Registration({
+        store,
+        key: `${fleetPrefix}${settings.id}`,
+        leaseTime,
+        clock,
+        random,
+        log,
+      }),
+    );
+    this.configurationFollower = this.follow(environment.configuration.key, 0);
+    this.fleetFollower = this.follow(fleetPrefix, fleetRest);
+    const onVersion = (version: number): void => this.noteVersion(version);
+    this.peers = this.disposables.add(
+      new PeerLink({ id: settings.id, region: settings.region, clock, onVersion }),
+    );
+    this.homeServer = this.disposables.add(
+      new HomeServer({ home: this.home, version: () => this.traffic.version, onVersion, log }),
+    );
+    this.metrics = new SidecarMetrics(() => this.gauges());
+    this.callerServer = this.disposables.add(this.createCallerServer());
+    this.connect();
+  }
+
+  /** Whether this daemon takes work: it knows the configuration and the fleet and is not stopping. */
+  public get isReady(): boolean {
+    return !this.isStopping && this.traffic.isKnown && this.isFleetKnown;
+  }
+
+  /** Opens the sockets; throws if an address cannot be bound. */
+  public async start(): Promise<void> {
+    const { settings } = this;
+    await this.homeServer.listen(settings.peer);
+    await this.callerServer.listen(settings.callers);
+    this.configurationFollower.start();
+    this.fleetFollower.start();
+    this.publish();
+    this.pruneLater();
+    this.logLifecycle('serving');
+  }
+
+  /** Graceful shutdown: callers leave, other daemons send nothing new, no request in flight is cut. */
+  public async stop(): Promise<void> {
+    const { clock } = this.environment;
+    const due = clock.elapsed() + this.settings.grace - graceReserve;
+    this.isStopping = true;
+    this.logLifecycle('stopping');
+    this.callerServer.announceStop();
+    this.publish();
+    this.home.leave();
+    await this.sleep(notice);
+    const drained = this.callerServer.drain();
+    while (clock.elapsed() < due && this.callerServer.load + this.home.load > 0) {
+      await this.sleep(50);
+    }
+    await Promise.race([drained, this.sleep(Math.max(0, due - clock.elapsed()))]);
+    await Promise.race([this.registration.withdraw(), this.sleep(graceReserve / 2)]);
+    this.logLifecycle('stopped');
+    this.dispose();
+  }
+
+  public dispose(): void {
+    this.disposables.dispose();
+  }
+
+  private sleep(delay: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.environment.clock.after(delay, resolve);
+    });
+  }
+
+  private follow(prefix: string, rest: number): PrefixFollower {
+    const { store, clock, random, log } = this.environment;
+    return this.disposables.add(
+      new PrefixFollower({ store, prefix, wait: pollWait, rest, clock, random, log }),
+    );
+  }
+
+  private createCallerServer(): CallerServer {
+    const { clock, random, log, names } = this.environment;
+    const { settings, directory, traffic } = this;
+    const memory = new RouteMemory();
+    traffic.onChange(({ routes }) => memory.retain(new Set(routes.map(({ name }) => name))));
+    const { retryRatio: ratio, retrySlack: slack, retryWindow } = settings;
+    const window = Math.ceil(retryWindow / millisecondsPerSecond);
+    const dispatcher = new Dispatcher({
+      clock,
+      directory,
+      placement: new Placement(settings, random),
+      retries: new SharedRetryBudget({ ratio, slack, window }, () => directory.size, clock),
+      memory,
+      send: (candidate, order, signal) => this.send(candidate, order, signal),
+      version: () => traffic.version,
+      log,
+    });
+    return new CallerServer({
+      names,
+      service: settings.service,
+      traffic,
+      dispatcher,
+      clock,
+      random,
+      log,
+      onEnd: (end) => this.metrics.record(end),
+    });
+  }
+
+  private connect(): void {
+    const { configuration } = this.environment;
+    this.configurationFollower.onSnapshot(({ entries }) => {
+      entries.filter(({ key }) => key === configuration.key).forEach((entry) => this.apply(entry));
+    });
+    this.configurationFollower.onChanges((changes) => {
+      const newest = changes.filter(
+        ({ type, entry }) => type === 'put' && entry.key === configuration.key,
+      );
+      newest.slice(-1).forEach(({ entry }) => this.apply(entry));
+    });
+    this.fleetFollower.onSnapshot(({ entries }) => this.replaceFleet(entries));
+    this.fleetFollower.onChanges((changes) => {
+      changes.forEach((change) => this.changeFleet(change));
+    });
+    this.home.onChange(() => this.publish());
+  }
+
+  private apply(entry: StoreEntry): void {
+    const decoded = this.environment.configuration.decode(entry.value);
+    if (isLeft(decoded)) {
+      this.environment.log.write({
+        level: 'error',
+        kind: 'configuration',
+        message: 'the configuration in the store cannot be read; the last one stays in force',
+        fields: { step: 'configuration.decode', key: entry.key, error: decoded.left },
+      });
+      return;
+    }
+    this.traffic.apply(decoded.right);
+  }
+
+  private replaceFleet(entries: readonly StoreEntry[]): void {
+    const records = entries.flatMap((entry) => this.readRecord(entry) ?? []);
+    this.directory.replaceAll(records);
+    this.isFleetKnown = true;
+    this.checkOwnRecord(records.find(({ daemon }) => daemon === this.settings.id));
+  }
+
+  private changeFleet({ type, entry }: StoreChange): void {
+    const daemon = brandAs<DaemonId>(entry.key.slice(fleetPrefix.length));
+    const record = type === 'put' ? this.readRecord(entry) : undefined;
+    if (record !== undefined) this.directory.put(record);
+    else if (type === 'delete') this.directory.unlist(daemon);
+    if (daemon === this.settings.id) this.checkOwnRecord(record);
+  }
+
+  /** Writes the own record again if the store lost it. */
+  private checkOwnRecord(record: DaemonRecord | undefined): void {
+    if (record?.incarnation !== this.incarnation) this.registration.noteLost();
+  }
+
+  private readRecord(entry: StoreEntry): DaemonRecord | undefined {
+    const record = decodeRecord(entry);
+    if (record === undefined) {
+      this.environment.log.write({
+        level: 'warn',
+        kind: 'membership',
+        message: 'ignored an entry that is not the record of a daemon',
+        fields: { step: 'fleet.decode', key: entry.key, revision: entry.modRevision },
+      });
+    }
+    return record;
+  }
+
+  private publish(): void {
+    const { id, peer, region, dataCentre } = this.settings;
+    const record: DaemonRecord = {
+      daemon: id,
+      incarnation: this.incarnation,
+      address: peer,
+      region,
+      dataCentre,
+      state: this.isStopping ? 'leaving' : 'serving',
+      targets: this.home.published,
+    };
+    // The own target is known here without the store.
+    this.directory.put(record);
+    this.registration.publish(encodeRecord(record));
+  }
+
+  private pruneLater(): void {
+    this.disposables.add(
+      this.environment.clock.after(pruneInterval, () => {
+        if (this.fleetFollower.isInTouch) this.directory.prune();
+        this.pruneLater();
+      }),
+    );
+  }
+
+  /** A peer routes by a newer configuration: the own poll may hang. */
+  private noteVersion(version: number): void {
+    const now = this.environment.clock.elapsed();
+    if (version <= this.traffic.version || now - this.refreshedAt < refreshInterval) return;
+    this.refreshedAt = now;
+    this.configurationFollower.refresh();
+  }
+
+  private send(
+    candidate: Candidate,
+    order: ForwardOrder,
+    signal: AbortSignal,
+  ): Promise<TargetAnswer> {
+    if (candidate.daemon !== this.settings.id) return this.peers.send(candidate, order, signal);
+    return this.runHere(candidate, order, signal);
+  }
+
+  private async runHere(
+    candidate: Candidate,
+    order: ForwardOrder,
+    signal: AbortSignal,
+  ): Promise<TargetAnswer> {
+    const { call } = order;
+    const takeBody = (): Promise<Buffer> => {
+      order.onStart();
+      return Promise.resolve(call.body);
+    };
+    const { method, path, headers } = call;
+    const head = createOrderHead(candidate, order, this.settings.id);
+    const kept = headers.filter(([name]) => name.toLowerCase() !== 'content-length');
+    const answer = await this.home.run({ ...head, method, path, headers: kept }, takeBody, signal);
+    return { ...answer, body: await holdBody(answer.body, () => true) };
+  }
+
+  private gauges(): Readonly<Record<string, number>> {
+    return {
+      ready: this.isReady ? 1 : 0,
+      configuration_version: this.traffic.version,
+      known_daemons: this.directory.size,
+      callers_in_flight: this.callerServer.load,
+      home_in_flight: this.home.load,
+      store_in_touch: this.fleetFollower.isInTouch ? 1 : 0,
+      registered: this.registration.isWritten ? 1 : 0,
+    };
+  }
+
+  private logLifecycle(message: string): void {
+    const { id, service, dataCentre, callers, peer } = this.settings;
+    this.environment.log.write({
+      level: 'info',
+      kind: 'lifecycle',
+      message,
+      fields: {
+        step: 'lifecycle',
+        daemon: id,
+        incarnation: this.incarnation,
+        service,
+        dataCentre,
+        callers,
+        peer,
+      },
+    });
+  }
+}
--- /dev/null
+++ b/src/sidecar/SidecarMetrics.ts
@@ -0,0 +1,57 @@
+import { build, type Histogram } from 'hdr-histogram-js';
+import type { CallEnd } from './CallerServer.js';
+
+const highestMilliseconds = 60_000;
+const quantiles = [50, 90, 99, 99.9] as const;
+const firstError = 400;
+
+/** Values that are read when the metrics are asked for. */
+export type Gauges = () => Readonly<Record<string, number>>;
+
+/** Counters and latency histograms in the Prometheus text format. */
+export class SidecarMetrics {
+  private readonly counts = new Map<string, number>();
+
+  private readonly histograms = new Map<string, Histogram>();
+
+  public constructor(private readonly gauges: Gauges) {}
+
+  /** Counts a finished request; `duration` of a failed one is not recorded. */
+  public record({ service, status, duration }: CallEnd): void {
+    const labels = `service="${service}",status="${status}"`;
+    this.counts.set(labels, (this.counts.get(labels) ?? 0) + 1);
+    if (status >= firstError) return;
+    let histogram = this.histograms.get(service);
+    if (histogram === undefined) {
+      histogram = build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: highestMilliseconds,
+        numberOfSignificantValueDigits: 2,
+      });
+      this.histograms.set(service, histogram);
+    }
+    histogram.recordValue(Math.min(highestMilliseconds, Math.max(1, Math.round(duration))));
+  }
+
+  /** All metrics as text. */
+  public text(): string {
+    const lines = [...this.counts].map(
+      ([labels, count]) => `limpettrack_requests_total{${labels}} ${count}`,
+    );
+    this.histograms.forEach((histogram, service) => {
+      quantiles.forEach((quantile) => {
+        const labels = `service="${service}",quantile="${quantile / 100}"`;
+        const value = histogram.getValueAtPercentile(quantile);
+        lines.push(`limpettrack_request_duration_milliseconds{${labels}} ${value}`);
+      });
+      const labels = `service="${service}"`;
+      lines.push(
+        `limpettrack_request_duration_milliseconds_count{${labels}} ${histogram.totalCount}`,
+      );
+    });
+    Object.entries(this.gauges()).forEach(([name, value]) => {
+      lines.push(`limpettrack_${name} ${value}`);
+    });
+    return `${lines.join('\n')}\n`;
+  }
+}
--- /dev/null
+++ b/src/sidecar/TrafficState.ts
@@ -0,0 +1,71 @@
+import * as O from 'fp-ts/lib/Option.js';
+import { Emitter, type LogSink } from '../api/index.js';
+import { RouteTable } from '../common/routing/RouteTable.js';
+import type {
+  CallerLimits,
+  TrafficConfiguration,
+  TrafficRoute,
+} from '../common/routing/TrafficTypes.js';
+
+/** Limits until a configuration is known: those of the present platform. */
+const initialLimits: CallerLimits = {
+  maxHeader: 16 * 1024,
+  maxBody: 64 * 1024 * 1024,
+  headerTimeout: 3_000,
+  idleTimeout: 15_000,
+};
+
+/** Traffic configuration in force in this process; it never goes back to an older version. */
+export class TrafficState {
+  private current: TrafficConfiguration | undefined;
+
+  private table = new RouteTable<TrafficRoute>([]);
+
+  private readonly changeEmitter = new Emitter<TrafficConfiguration>();
+
+  /** Fires when a newer version is in force. */
+  public readonly onChange = this.changeEmitter.event;
+
+  public constructor(private readonly log: LogSink) {}
+
+  /** Whether any version is known. */
+  public get isKnown(): boolean {
+    return this.current !== undefined;
+  }
+
+  /** Version in force; 0 if none is known. */
+  public get version(): number {
+    return this.current?.version ?? 0;
+  }
+
+  /** Limits in force. */
+  public get limits(): CallerLimits {
+    return this.current?.limits ?? initialLimits;
+  }
+
+  /** Route of a request, if there is one. */
+  public find(host: string, path: string): TrafficRoute | undefined {
+    return O.toUndefined(this.table.find({ method: '', host, path }));
+  }
+
+  /** Puts a version in force if it is newer. */
+  public apply(configuration: TrafficConfiguration): void {
+    const before = this.version;
+    const isNewer = configuration.version > before;
+    this.log.write({
+      level: 'info',
+      kind: 'configuration',
+      message: isNewer ? 'a configuration is in force' : 'ignored an older configuration',
+      fields: {
+        step: 'configuration.apply',
+        version: configuration.version,
+        before,
+        routes: configuration.routes.length,
+      },
+    });
+    if (!isNewer) return;
+    this.current = configuration;
+    this.table = new RouteTable(configuration.routes);
+    this.changeEmitter.fire(configuration);
+  }
+}
--- /dev/null
+++ b/src/sidecar/Types.ts
@@ -0,0 +1,45 @@
+/** Interfaces of the daemon beside one target. */
+import type { HeaderPair } from '../common/dispatch/Types.js';
+
+/** Names of the headers that callers and targets understand, in lower case. The platform gives them. */
+export interface HeaderVocabulary {
+  /** Id of a request, given by the caller and echoed by the target. */
+  readonly requestId: string;
+  /** Milliseconds for which the sender waits. */
+  readonly timeout: string;
+  /** Id of the only target that may run the request. */
+  readonly expectedTarget: string;
+  /** Service of the VM where the request began. */
+  readonly callerService: string;
+  /** Proof of the target that the answer is its own. */
+  readonly signature: string;
+  /** Present if the target states that it did not run the request. */
+  readonly notRun: string;
+}
+
+/** Request as the home of a target got it from another daemon. */
+export interface HomeOrder {
+  readonly id: string;
+  readonly target: string;
+  readonly incarnation: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly HeaderPair[];
+  /** Milliseconds until the answer is of no use. */
+  readonly timeout: number;
+  /** Milliseconds for which it may wait for a slot. */
+  readonly patience: number;
+  readonly isForced: boolean;
+  readonly isRepeatable: boolean;
+  readonly rank: number;
+  readonly route: string;
+  /** Latency in milliseconds that the operators ask for. */
+  readonly goal: number;
+  /** Daemon that took the request from its caller. */
+  readonly entry: string;
+  /** Configuration version by which the entry routed. */
+  readonly version: number;
+}
+
+/** Gives the body of a request when the home asks for it, which is when it has a slot. */
+export type BodyProvider = () => Promise<Buffer>;
--- /dev/null
+++ b/src/sidecar/peerHeaders.ts
@@ -0,0 +1,133 @@
+/** Headers between daemons. */
+import { brandAs, type RefusalReason, type TargetId } from '../api/index.js';
+import type { Candidate, ForwardOrder, TargetCondition } from '../common/dispatch/Types.js';
+
+/** Order of the entry, as JSON. */
+export const orderHeader = 'limpettrack-order';
+/** Reason why the home did not run a request. */
+export const refusalHeader = 'limpettrack-refusal';
+/** Condition of the target, as JSON. */
+export const conditionHeader = 'limpettrack-condition';
+/** Milliseconds after which another try can succeed. */
+export const retryAfterHeader = 'limpettrack-retry-after-ms';
+/** Present if the target itself refused. */
+export const reachedHeader = 'limpettrack-reached';
+/** Present if the outcome of the request is not known. */
+export const failureHeader = 'limpettrack-failure';
+/** Configuration version in force at the answering daemon. */
+export const versionHeader = 'limpettrack-version';
+
+/** Order as it travels; short keys, since it is sent with each request. */
+interface WireOrder {
+  readonly id: string;
+  readonly t: string;
+  readonly i: string;
+  readonly ms: number;
+  readonly p: number;
+  readonly f: boolean;
+  readonly r: boolean;
+  readonly k: number;
+  readonly n: string;
+  readonly g: number;
+  readonly e: string;
+  readonly v: number;
+}
+
+/** Parts of an order that travel in one header. */
+export interface OrderHead {
+  readonly id: string;
+  readonly target: string;
+  readonly incarnation: string;
+  readonly timeout: number;
+  readonly patience: number;
+  readonly isForced: boolean;
+  readonly isRepeatable: boolean;
+  readonly rank: number;
+  readonly route: string;
+  readonly goal: number;
+  readonly entry: string;
+  readonly version: number;
+}
+
+/** Head of an order for a candidate. */
+export function createOrderHead(
+  candidate: Candidate,
+  order: ForwardOrder,
+  entry: string,
+): OrderHead {
+  const { route, id } = order.call;
+  return {
+    id,
+    target: candidate.target,
+    incarnation: candidate.incarnation,
+    timeout: Math.round(order.timeout),
+    patience: Math.round(order.patience),
+    isForced: order.isForced,
+    isRepeatable: route.isRepeatable,
+    rank: route.rank,
+    route: route.name,
+    goal: route.goal,
+    entry,
+    version: order.version,
+  };
+}
+
+/** Writes the head of an order as a header value. */
+export function encodeOrder(head: OrderHead): string {
+  const wire: WireOrder = {
+    id: head.id,
+    t: head.target,
+    i: head.incarnation,
+    ms: head.timeout,
+    p: head.patience,
+    f: head.isForced,
+    r: head.isRepeatable,
+    k: head.rank,
+    n: head.route,
+    g: head.goal,
+    e: head.entry,
+    v: head.version,
+  };
+  return JSON.stringify(wire);
+}
+
+/** Reads the head of an order; undefined if it is not one. */
+export function decodeOrder(value: string | undefined): OrderHead | undefined {
+  if (value === undefined) return undefined;
+  try {
+    const wire = JSON.parse(value) as WireOrder;
+    return {
+      id: wire.id,
+      target: brandAs<TargetId>(wire.t),
+      incarnation: wire.i,
+      timeout: wire.ms,
+      patience: wire.p,
+      isForced: wire.f,
+      isRepeatable: wire.r,
+      rank: wire.k,
+      route: wire.n,
+      goal: wire.g,
+      entry: wire.e,
+      version: wire.v,
+    };
+  } catch {
+    // The sender is told by a status; it is no daemon of this version.
+    return undefined;
+  }
+}
+
+/** Reads the condition of a target; undefined if it is missing or not readable. */
+export function decodeCondition(value: string | undefined): TargetCondition | undefined {
+  if (value === undefined) return undefined;
+  try {
+    return JSON.parse(value) as TargetCondition;
+  } catch {
+    // A missing condition only leaves the entry with older knowledge.
+    return undefined;
+  }
+}
+
+/** Reads a refusal reason. */
+export function decodeReason(value: string): RefusalReason {
+  return value as RefusalReason;
+}
