--- /dev/null
+++ b/src/common/admission/SlotQueue.test.ts
@@ -0,0 +1,87 @@
+import { expect } from 'chai';
+import { isRight } from 'fp-ts/lib/Either.js';
+import { VirtualClock } from '../base/index.js';
+import { SlotQueue, type SlotDemand, type SlotPermit } from './SlotQueue.js';
+
+const signal = new AbortController().signal;
+
+function create(slots: number) {
+  const clock = new VirtualClock();
+  const queue = new SlotQueue(slots, clock);
+  const events: string[] = [];
+  const permits = new Map<string, SlotPermit>();
+  const submit = (name: string, change: Partial<SlotDemand> = {}, abort = signal): void => {
+    const demand = { rank: 1, patience: 5_000, isMovable: false, ...change };
+    void queue.submit(demand, abort).then((result) => {
+      if (isRight(result)) permits.set(name, result.right);
+      events.push(isRight(result) ? `${name} runs` : `${name} ${result.left.reason}`);
+    });
+  };
+  return { clock, queue, events, permits, submit };
+}
+
+describe('SlotQueue', () => {
+  it('serves the more urgent first, or bids wait behind listings', async () => {
+    const { clock, events, permits, submit } = create(1);
+    submit('first');
+    submit('listing', { rank: 2 });
+    submit('bid', { rank: 0 });
+    await clock.advanceAsync(0);
+    permits.get('first')?.release();
+    await clock.advanceAsync(0);
+    permits.get('bid')?.release();
+    await clock.advanceAsync(0);
+    expect(events).to.deep.equal(['first runs', 'bid runs', 'listing runs']);
+  });
+
+  const refusals = [
+    { name: 'at once if it cannot get a slot in its patience', patience: 0, after: 0 },
+    { name: 'when its patience ends', patience: 2_000, after: 2_000 },
+  ];
+  refusals.forEach(({ name, patience, after }) => {
+    it(`refuses ${name}`, async () => {
+      const { clock, events, submit } = create(1);
+      submit('first');
+      submit('second', { patience });
+      await clock.advanceAsync(after);
+      expect(events).to.include('second busy');
+    });
+  });
+
+  it('gives back only those that may move when the target falls sick', async () => {
+    const { clock, queue, events, submit } = create(1);
+    submit('first');
+    submit('movable', { isMovable: true });
+    submit('forced');
+    await clock.advanceAsync(0);
+    queue.evict('suspect', ({ isMovable }) => isMovable);
+    await clock.advanceAsync(0);
+    expect(events).to.deep.equal(['first runs', 'movable suspect']);
+    expect(queue.queued).to.equal(1);
+  });
+
+  it('lets a caller that has left take no slot', async () => {
+    const { clock, events, permits, submit } = create(1);
+    const abort = new AbortController();
+    submit('first');
+    submit('second', {}, abort.signal);
+    abort.abort();
+    permits.get('first')?.release();
+    await clock.advanceAsync(0);
+    expect(events).to.include('second cancelled');
+  });
+
+  it('never runs more than its slots, whatever the order of releases', async () => {
+    const { clock, queue, permits, submit } = create(3);
+    for (let index = 0; index < 20; index += 1) submit(`r${index}`);
+    for (let step = 0; step < 20; step += 1) {
+      await clock.advanceAsync(10);
+      expect(queue.running).to.be.at.most(3);
+      const [name] = permits.keys();
+      const permit = permits.get(name ?? '');
+      permits.delete(name ?? '');
+      permit?.release();
+      permit?.release();
+    }
+  });
+});
--- a/src/common/admission/SlotQueue.ts
+++ b/src/common/admission/SlotQueue.ts
@@ -12,8 +12,8 @@
   readonly rank: number;
   /** Milliseconds for which it may wait. */
   readonly patience: number;
-  /** Whether it may be run elsewhere after it has been sent to a target. */
-  readonly isRepeatable: boolean;
+  /** Whether it is better placed elsewhere if the target falls sick while it waits. */
+  readonly isMovable: boolean;
 }
 
 /** Why a request got no slot. */
--- /dev/null
+++ b/src/common/fleet/Registration.test.ts
@@ -0,0 +1,79 @@
+import { expect } from 'chai';
+import { VirtualClock } from '../base/index.js';
+import { FakePolledStore } from '../../testing/FakePolledStore.js';
+import { MemoryLog } from '../../testing/MemoryLog.js';
+import { Registration } from './Registration.js';
+
+const key = 'limpettrack/daemons/d-1';
+
+function create() {
+  const clock = new VirtualClock();
+  const store = new FakePolledStore(clock);
+  const log = new MemoryLog();
+  const registration = new Registration({
+    store,
+    key,
+    leaseTime: 6,
+    clock,
+    random: () => 0.5,
+    log,
+  });
+  return { clock, store, log, registration };
+}
+
+describe('Registration', () => {
+  it('keeps its key for as long as it lives, and loses it after the lease when it is gone', async () => {
+    const { clock, store, registration } = create();
+    registration.publish('one');
+    await clock.advanceAsync(60_000);
+    expect(store.text(key)).to.equal('one');
+    registration.dispose();
+    await clock.advanceAsync(7_000);
+    expect(store.text(key)).to.equal(undefined);
+  });
+
+  const faults = [
+    { name: 'an outage', begin: 'isDown' as const },
+    { name: 'lost answers', begin: 'losesAnswers' as const },
+  ];
+  faults.forEach(({ name, begin }) => {
+    it(`is back within two seconds after ${name}, or the fleet takes it as gone`, async () => {
+      const { clock, store, registration } = create();
+      store.faults[begin] = true;
+      registration.publish('one');
+      await clock.advanceAsync(5_000);
+      registration.publish('two');
+      await clock.advanceAsync(20_000);
+      store.faults[begin] = false;
+      store.revokeAll();
+      await clock.advanceAsync(2_000);
+      expect(store.text(key)).to.equal('two');
+    });
+  });
+
+  it('writes its key again when the lease was taken away without notice', async () => {
+    const { clock, store, registration } = create();
+    registration.publish('one');
+    await clock.advanceAsync(100);
+    store.remove(key);
+    registration.noteLost();
+    await clock.advanceAsync(200);
+    expect(store.text(key)).to.equal('one');
+  });
+
+  it('replaces the key of its own earlier incarnation', async () => {
+    const { clock, store, registration } = create();
+    store.put(key, 'earlier');
+    registration.publish('one');
+    await clock.advanceAsync(200);
+    expect(store.text(key)).to.equal('one');
+  });
+
+  it('renews with few calls: at most one call in two seconds', async () => {
+    const { clock, store, registration } = create();
+    registration.publish('one');
+    await clock.advanceAsync(60_000);
+    expect(store.calls.keep).to.be.at.most(38);
+    expect(store.calls.transact).to.equal(1);
+  });
+});
--- a/src/common/retry/SharedRetryBudget.ts
+++ b/src/common/retry/SharedRetryBudget.ts
@@ -27,9 +27,9 @@
 export class SharedRetryBudget implements RetryAllowance {
   private readonly accounts = new Map<ServiceName, Account>();
 
-  /** `daemons` gives the number of daemons that share the slack. */
+  /** `allowance` is asked each time, since operators can change it; `daemons` gives the number of daemons that share the slack. */
   public constructor(
-    private readonly allowance: FleetAllowance,
+    private readonly allowance: () => FleetAllowance,
     private readonly daemons: () => number,
     private readonly clock: Clock,
   ) {}
@@ -40,7 +40,7 @@
 
   public takeRetry(service: ServiceName): boolean {
     const { requests, retries } = this.ensure(service);
-    const { ratio, slack } = this.allowance;
+    const { ratio, slack } = this.allowance();
     const allowed = usedShare * (ratio * requests.sum + slack / Math.max(1, this.daemons()));
     if (retries.sum + 1 > allowed) return false;
     retries.add();
@@ -50,7 +50,7 @@
   private ensure(service: ServiceName): Account {
     let account = this.accounts.get(service);
     if (account === undefined) {
-      const { window } = this.allowance;
+      const { window } = this.allowance();
       account = {
         requests: new WindowCounter(window, this.clock),
         // One second more, since a window that slides can begin within the oldest second.
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -212,7 +212,9 @@
     const hosted = this.find(order);
     this.checkHealth(hosted, order);
     this.scheduleReview();
-    const result = await hosted.queue.submit(order, signal);
+    const { rank, patience, isRepeatable, isForced } = order;
+    const demand = { rank, patience, isMovable: !isRepeatable && !isForced };
+    const result = await hosted.queue.submit(demand, signal);
     if (isLeft(result)) {
       const { reason, retryAfter } = result.left;
       throw this.refuse(hosted, refusalReasons[reason], order, retryAfter);
@@ -336,7 +338,7 @@
       this.hosted.forEach(({ queue, filter }) => {
         if (queue.queued === 0) return;
         isNeeded = true;
-        if (filter.now >= suspectOdds) queue.evict('suspect', ({ isRepeatable }) => !isRepeatable);
+        if (filter.now >= suspectOdds) queue.evict('suspect', ({ isMovable }) => isMovable);
       });
       if (isNeeded) this.scheduleReview();
     });
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -21,7 +21,7 @@
 import { PrefixFollower } from '../common/fleet/PrefixFollower.js';
 import { Registration } from '../common/fleet/Registration.js';
 import type { DaemonRecord, PolledStore } from '../common/fleet/Types.js';
-import { SharedRetryBudget } from '../common/retry/SharedRetryBudget.js';
+import { SharedRetryBudget, type FleetAllowance } from '../common/retry/SharedRetryBudget.js';
 import type { TrafficConfiguration } from '../common/routing/TrafficTypes.js';
 import { CallerServer } from './CallerServer.js';
 import { holdBody } from './holdBody.js';
@@ -104,7 +104,7 @@
   private refreshedAt = -Infinity;
 
   public constructor(
-    private readonly settings: SidecarSettings,
+    private settings: SidecarSettings,
     private readonly environment: SidecarEnvironment,
   ) {
     const { clock, random, log, names, store } = environment;
@@ -155,6 +155,22 @@
     this.logLifecycle('serving');
   }
 
+  /** Takes changed settings. Addresses of own sockets need a new process and are only reported. */
+  public reload(settings: SidecarSettings): void {
+    const { retryRatio, retrySlack, retryWindow, grace } = settings;
+    const before = JSON.stringify(this.settings);
+    this.settings = { ...this.settings, retryRatio, retrySlack, retryWindow, grace };
+    const fields = { step: 'settings.reload', retryRatio, retrySlack, retryWindow, grace };
+    const hasApplied = before !== JSON.stringify(this.settings);
+    const isWhole = JSON.stringify(settings) === JSON.stringify(this.settings);
+    this.environment.log.write({
+      level: isWhole ? 'info' : 'warn',
+      kind: 'lifecycle',
+      message: isWhole ? 'reloaded the settings' : 'some changed settings need a new process',
+      fields: { ...fields, changed: hasApplied },
+    });
+  }
+
   /** Graceful shutdown: callers leave, other daemons send nothing new, no request in flight is cut. */
   public async stop(): Promise<void> {
     const { clock } = this.environment;
@@ -197,13 +213,15 @@
     const { settings, directory, traffic } = this;
     const memory = new RouteMemory();
     traffic.onChange(({ routes }) => memory.retain(new Set(routes.map(({ name }) => name))));
-    const { retryRatio: ratio, retrySlack: slack, retryWindow } = settings;
-    const window = Math.ceil(retryWindow / millisecondsPerSecond);
     const dispatcher = new Dispatcher({
       clock,
       directory,
       placement: new Placement(settings, random),
-      retries: new SharedRetryBudget({ ratio, slack, window }, () => directory.size, clock),
+      retries: new SharedRetryBudget(
+        () => this.retryAllowance(),
+        () => directory.size,
+        clock,
+      ),
       memory,
       send: (candidate, order, signal) => this.send(candidate, order, signal),
       version: () => traffic.version,
@@ -221,6 +239,11 @@
     });
   }
 
+  private retryAllowance(): FleetAllowance {
+    const { retryRatio: ratio, retrySlack: slack, retryWindow } = this.settings;
+    return { ratio, slack, window: Math.ceil(retryWindow / millisecondsPerSecond) };
+  }
+
   private connect(): void {
     const { configuration } = this.environment;
     this.configurationFollower.onSnapshot(({ entries }) => {
--- a/src/sidecar/TargetLink.ts
+++ b/src/sidecar/TargetLink.ts
@@ -1,4 +1,9 @@
-import { Agent, request as startRequest, type ClientRequest, type IncomingMessage } from 'node:http';
+import {
+  Agent,
+  request as startRequest,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http';
 import type { Socket } from 'node:net';
 import type { Readable } from 'node:stream';
 import { OutcomeUnknownError, type Disposable, type OutcomeKind } from '../api/index.js';
