--- /dev/null
+++ b/src/sidecar/Home.test.ts
@@ -0,0 +1,327 @@
+import { buffer } from 'node:stream/consumers';
+import type { Socket } from 'node:net';
+import { expect } from 'chai';
+import { brandAs, NotRunError, type ServiceName, type TargetId } from '../api/index.js';
+import type { TargetReport } from '../common/fleet/Types.js';
+import { SystemClock } from '../node/SystemClock.js';
+import { MemoryLog } from '../testing/MemoryLog.js';
+import { RawTarget, type RawBehaviour, type RawRequest } from '../testing/RawTarget.js';
+import { Home } from './Home.js';
+import { holdBody } from './holdBody.js';
+import type { HeaderVocabulary, HomeOrder } from './Types.js';
+
+const names: HeaderVocabulary = {
+  requestId: 'id',
+  timeout: 'timeout',
+  expectedTarget: 'expected',
+  callerService: 'caller',
+  signature: 'signature',
+  notRun: 'not-run',
+};
+const signal = new AbortController().signal;
+
+/** Writes a head with the echoed id and the signature. */
+function answer(request: RawRequest, extra: string, body: string, status = '200 OK'): string {
+  const id = request.header(names.requestId);
+  return `HTTP/1.1 ${status}\r\nid: ${id}\r\nsignature: s\r\n${extra}\r\n${body}`;
+}
+
+function report(address: string, change: Partial<TargetReport> = {}): TargetReport {
+  return {
+    id: brandAs<TargetId>('t-1'),
+    startedAt: 1_000,
+    sequence: 1,
+    service: brandAs<ServiceName>('catalogo'),
+    address,
+    slots: 2,
+    state: 'ready',
+    warmUp: 0,
+    ...change,
+  };
+}
+
+let count = 0;
+
+function order(change: Partial<HomeOrder> = {}): HomeOrder {
+  count += 1;
+  return {
+    id: `r-${count}`,
+    target: 't-1',
+    incarnation: '1000',
+    method: 'GET',
+    path: '/x/1',
+    headers: [
+      ['host', 'h.example'],
+      ['id', `r-${count}`],
+    ],
+    timeout: 2_000,
+    patience: 0,
+    isForced: false,
+    isRepeatable: false,
+    rank: 1,
+    route: 'listing',
+    goal: 1_000,
+    entry: 'd-2',
+    version: 1,
+    ...change,
+  };
+}
+
+/** Result of one request: the body, or how it failed. */
+async function run(home: Home, change: Partial<HomeOrder> = {}, body = ''): Promise<string> {
+  try {
+    const result = await home.run(order(change), async () => Buffer.from(body), signal);
+    const held = await holdBody(result.body, () => true);
+    return `${result.status} ${(Buffer.isBuffer(held) ? held : await buffer(held)).toString()}`;
+  } catch (error) {
+    return error instanceof NotRunError ? `not run: ${error.reason}` : 'unknown';
+  }
+}
+
+function later(action: () => void): void {
+  setTimeout(action, 20);
+}
+
+describe('Home', () => {
+  let target: RawTarget;
+  let home: Home;
+  let address: string;
+
+  beforeEach(async () => {
+    target = new RawTarget((socket, request) => {
+      socket.write(answer(request, 'content-length: 4\r\n', 'good'));
+    });
+    address = await target.listen();
+    home = new Home({
+      address,
+      service: 'catalogo',
+      names,
+      clock: new SystemClock(),
+      log: new MemoryLog(),
+    });
+    home.announce(report(address));
+  });
+
+  afterEach(() => {
+    home.dispose();
+    target.dispose();
+  });
+
+  const cutLater =
+    (extra: string, body: string, cut: (socket: Socket) => void): RawBehaviour =>
+    (socket, request) => {
+      socket.write(answer(request, extra, body));
+      later(() => cut(socket));
+    };
+  const answers: readonly {
+    readonly name: string;
+    readonly behaviour: RawBehaviour;
+    readonly result: string;
+  }[] = [
+    {
+      name: 'passes a whole answer on',
+      behaviour: (socket, request) => socket.write(answer(request, 'content-length: 2\r\n', 'ok')),
+      result: '200 ok',
+    },
+    {
+      name: 'passes an answer on that ends with its connection',
+      behaviour: cutLater('', 'whole', (socket) => socket.end()),
+      result: '200 whole',
+    },
+    {
+      name: 'does not take a reset for the end of an answer without a length',
+      behaviour: cutLater('', 'short', (socket) => socket.resetAndDestroy()),
+      result: 'unknown',
+    },
+    {
+      name: 'does not take a reset that comes with the data for the end of an answer',
+      behaviour: (socket, request) => {
+        socket.write(answer(request, '', 'short'));
+        socket.resetAndDestroy();
+      },
+      result: 'unknown',
+    },
+    {
+      name: 'passes an answer on that ends with its connection at once',
+      behaviour: (socket, request) => socket.end(answer(request, '', 'whole')),
+      result: '200 whole',
+    },
+    {
+      name: 'does not take a reset for the end of a closing answer in chunks',
+      behaviour: cutLater(
+        'connection: close\r\ntransfer-encoding: chunked\r\n',
+        '5\r\nshort\r\n',
+        (socket) => socket.resetAndDestroy(),
+      ),
+      result: 'unknown',
+    },
+    {
+      name: 'does not take a close for the end of an answer in chunks',
+      behaviour: cutLater('transfer-encoding: chunked\r\n', '5\r\nshort\r\n', (socket) =>
+        socket.end(),
+      ),
+      result: 'unknown',
+    },
+    {
+      name: 'does not take a close for the end of an answer with a length',
+      behaviour: cutLater('content-length: 99\r\n', 'short', (socket) => socket.end()),
+      result: 'unknown',
+    },
+    {
+      name: 'does not pass on the answer of another request',
+      behaviour: (socket) =>
+        socket.write(
+          'HTTP/1.1 200 OK\r\nid: other\r\nsignature: s\r\ncontent-length: 3\r\n\r\nbad',
+        ),
+      result: 'unknown',
+    },
+    {
+      name: 'does not pass on a success without a signature',
+      behaviour: (socket, request) =>
+        socket.write(
+          `HTTP/1.1 200 OK\r\nid: ${request.header('id')}\r\ncontent-length: 3\r\n\r\nbad`,
+        ),
+      result: 'unknown',
+    },
+    {
+      name: 'does not pass on a body in a coding that nobody asked for',
+      behaviour: (socket, request) =>
+        socket.write(answer(request, 'content-encoding: gzip\r\ncontent-length: 3\r\n', 'bad')),
+      result: 'unknown',
+    },
+    {
+      name: 'does not pass on bytes that are no answer',
+      behaviour: (socket) => socket.write('garbage\r\n\r\n'),
+      result: 'unknown',
+    },
+    {
+      name: 'passes a failure of the target on',
+      behaviour: (socket, request) =>
+        socket.write(answer(request, 'content-length: 3\r\n', 'bad', '500 Internal Server Error')),
+      result: '500 bad',
+    },
+    {
+      name: 'believes a target that says it did not run the request',
+      behaviour: (socket) =>
+        socket.write('HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n'),
+      result: 'not run: queue-full',
+    },
+    {
+      name: 'believes a target that is another one than expected',
+      behaviour: (socket) =>
+        socket.write('HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n'),
+      result: 'not run: queue-full',
+    },
+    {
+      name: 'does not believe another failure',
+      behaviour: (socket) =>
+        socket.write('HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n'),
+      result: 'unknown',
+    },
+    { name: 'gives up at the timeout', behaviour: () => {}, result: 'unknown' },
+  ];
+  answers.forEach(({ name, behaviour, result }) => {
+    it(name, async () => {
+      target.behaviour = behaviour;
+      expect(await run(home, { timeout: 200 })).to.equal(result);
+    });
+  });
+
+  it('does not give an answer that came twice to the next request', async () => {
+    target.behaviour = (socket, request) => {
+      const text = answer(request, 'content-length: 2\r\n', request.header('id').slice(2));
+      socket.write(text);
+      later(() => socket.write(text));
+    };
+    for (let index = 0; index < 5; index += 1) {
+      const id = `r-${10 + index}`;
+      const headers = [['id', id]] as const;
+      const result = await run(home, { id, headers, isRepeatable: true });
+      expect(result).to.equal(`200 ${10 + index}`);
+      await new Promise((resolve) => {
+        setTimeout(resolve, 60);
+      });
+    }
+  });
+
+  it('tells the target who may run the request and how long', async () => {
+    await run(home, { method: 'POST', timeout: 1_500 }, 'body');
+    const [request] = target.requests;
+    expect(request?.header('expected')).to.equal('t-1');
+    expect(Number(request?.header('timeout'))).to.be.within(1_000, 1_500);
+    expect(request?.body).to.equal('body');
+  });
+
+  const refusals: readonly {
+    readonly name: string;
+    readonly prepare: (home: Home, address: string) => void;
+    readonly change?: Partial<HomeOrder>;
+    readonly result: string;
+  }[] = [
+    {
+      name: 'a draining target',
+      prepare: (one, at) => one.announce(report(at, { sequence: 2, state: 'draining' })),
+      result: 'not run: draining',
+    },
+    {
+      name: 'a target that has left',
+      prepare: (one) => one.end(brandAs<TargetId>('t-1'), 1_000),
+      result: 'not run: not-home',
+    },
+    {
+      name: 'a target that has left, after a late announcement',
+      prepare: (one, at) => {
+        one.end(brandAs<TargetId>('t-1'), 1_000);
+        one.announce(report(at, { sequence: 2 }));
+      },
+      result: 'not run: not-home',
+    },
+    {
+      name: 'an earlier incarnation',
+      prepare: (one, at) => one.announce(report(at, { startedAt: 2_000 })),
+      result: 'not run: not-home',
+    },
+    { name: 'a leaving daemon', prepare: (one) => one.leave(), result: 'not run: draining' },
+  ];
+  refusals.forEach(({ name, prepare, change, result }) => {
+    it(`sends nothing to ${name}`, async () => {
+      prepare(home, address);
+      expect(await run(home, change)).to.equal(result);
+      expect(target.requests).to.have.length(0);
+    });
+  });
+
+  const foreign = [
+    { name: 'at another address', change: { address: '10.9.9.9:1', id: brandAs<TargetId>('t-9') } },
+    {
+      name: 'of another service',
+      change: { service: brandAs<ServiceName>('pujas'), id: brandAs<TargetId>('t-9') },
+    },
+  ];
+  foreign.forEach(({ name, change }) => {
+    it(`takes no announcement of a target ${name}`, () => {
+      expect(home.announce(report(address, change))).to.equal(false);
+      expect(home.published).to.have.length(1);
+    });
+  });
+
+  it('says not run when nothing listens at the address', async () => {
+    target.dispose();
+    expect(await run(home)).to.equal('not run: connect-failed');
+  });
+
+  it('cancels at the target when the entry leaves', async () => {
+    target.behaviour = () => {};
+    const abort = new AbortController();
+    const result = home.run(order(), async () => Buffer.alloc(0), abort.signal).catch(() => 'cut');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    abort.abort();
+    expect(await result).to.equal('cut');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    expect(target.abandoned).to.equal(1);
+  });
+});
--- a/src/sidecar/TargetLink.ts
+++ b/src/sidecar/TargetLink.ts
@@ -11,6 +11,7 @@
 import { dropHopByHop, findHeader, pairHeaders } from '../daemon/Headers.js';
 import { discard } from '../daemon/streams.js';
 import { TargetFailure } from '../daemon/TargetFailure.js';
+import { requireCleanEnd } from './cleanEnd.js';
 import { IdleCheckingAgent } from './IdleCheckingAgent.js';
 import type { HeaderVocabulary, HomeOrder } from './Types.js';
 
@@ -24,6 +25,7 @@
 const spareConnections = 2;
 const firstError = 300;
 const misdirected = 421;
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /** Why a request was cut by this daemon. */
 type CutReason = 'late' | 'cancelled' | 'unreachable';
@@ -47,6 +49,16 @@
 /** Answer of a target whose body is still on its way. */
 export type StreamedAnswer = TargetAnswer & { readonly body: Readable };
 
+/** Whether the end of the body is known without the end of the connection. */
+function isFramed(method: string, status: number, headers: readonly HeaderPair[]): boolean {
+  return (
+    method === 'HEAD' ||
+    bodilessStatuses.has(status) ||
+    findHeader(headers, 'content-length') !== undefined ||
+    findHeader(headers, 'transfer-encoding') !== undefined
+  );
+}
+
 /** Connections to the target of this VM. */
 export class TargetLink implements Disposable {
   private readonly repeatable: Agent;
@@ -165,7 +177,10 @@
       discard(response);
       throw this.createFailure('invalid', problem);
     }
-    return { status, headers: dropHopByHop(headers), body: response };
+    const body = isFramed(order.method, status, headers)
+      ? response
+      : requireCleanEnd(response, response.socket);
+    return { status, headers: dropHopByHop(headers), body };
   }
 
   private findProblem(
