Let the homes of targets keep the retry budget

Ruled out: the hedge timer (it fired) and max-attempts (2).

A home counts first arrivals and repeats at its target and refuses a repeat beyond its part; the entry asks another home. Sums over the homes keep the bound of the fleet, and eight homes pool better than 24 entries.

--- a/src/common/admission/SlotQueue.test.ts
+++ b/src/common/admission/SlotQueue.test.ts
@@ -3,7 +3,7 @@
 import { VirtualClock } from '../base/index.js';
 import { SlotQueue, type SlotDemand, type SlotPermit } from './SlotQueue.js';
 
-const signal = new AbortController().signal;
+const {signal} = new AbortController();
 
 function create(slots: number) {
   const clock = new VirtualClock();
--- a/src/common/dispatch/Dispatcher.test.ts
+++ b/src/common/dispatch/Dispatcher.test.ts
@@ -103,6 +103,10 @@
   ): Promise<TargetAnswer> => {
     const behaviour = behaviours[target] ?? 'answers';
     orders.push(order);
+    if (order.isRepeat) {
+      world.budget -= 1;
+      if (world.budget < 0) throw refuse('limit', 0.1);
+    }
     await wait(clock, 1, signal);
     if (behaviour === 'suspect' && !order.isForced) throw refuse('suspect', 0.7);
     if (behaviour === 'full' && order.patience === 0) throw refuse('queue-full', 0.1);
@@ -119,13 +123,6 @@
     clock,
     directory,
     placement: new Placement({ region, dataCentre }, createRandom(3)),
-    retries: {
-      recordRequest: () => {},
-      takeRetry: () => {
-        world.budget -= 1;
-        return world.budget >= 0;
-      },
-    },
     memory: new RouteMemory(),
     send,
     version: () => 1,
--- a/src/common/dispatch/Dispatcher.ts
+++ b/src/common/dispatch/Dispatcher.ts
@@ -10,7 +10,6 @@
   type TargetId,
 } from '../base/index.js';
 import { logit } from '../health/SicknessFilter.js';
-import type { RetryAllowance } from '../retry/Types.js';
 import type { Offer, Placement } from './Placement.js';
 import type { RouteMemory } from './RouteMemory.js';
 import {
@@ -26,6 +25,8 @@
 
 /** Homes that may refuse one attempt before it is given up; each refusal costs one hop. */
 const maxRefusals = 12;
+/** Homes without budget after which a retry is given up. */
+const maxBudgetRefusals = 4;
 /** Times that one home is asked: once for a free slot at a healthy target, and once without these conditions. */
 const maxAsks = 2;
 /** Refusals after which the same home may be asked once more, if no other place is better. */
@@ -61,7 +62,6 @@
   readonly clock: Clock;
   readonly directory: Directory;
   readonly placement: Placement;
-  readonly retries: RetryAllowance;
   readonly memory: RouteMemory;
   readonly send: OrderSender;
   readonly version: () => number;
@@ -93,6 +93,7 @@
   readonly closed: Set<TargetId>;
   /** Targets to which it was sent. */
   sent: number;
+  hasHedged: boolean;
   mayHaveRun: boolean;
   failure: AttemptResult | undefined;
 }
@@ -113,8 +114,7 @@
    * timeout, and else `OutcomeUnknownError`.
    */
   public async dispatch(call: IncomingCall, signal: AbortSignal): Promise<TargetAnswer> {
-    const { clock, retries } = this.settings;
-    retries.recordRequest(call.service);
+    const { clock } = this.settings;
     const journey: Journey = {
       call,
       due: clock.elapsed() + call.timeout,
@@ -122,6 +122,7 @@
       asks: new Map(),
       closed: new Set(),
       sent: 0,
+      hasHedged: false,
       mayHaveRun: false,
       failure: undefined,
     };
@@ -148,8 +149,7 @@
         const { result } = event;
         if (isGood(result)) return (result as { answer: TargetAnswer }).answer;
         journey.failure = this.worse(journey.failure, result);
-        const isRetried = this.canRetry(journey, result) && this.takeRetry(journey);
-        if (isRetried) this.startAttempt(journey);
+        if (this.canRetry(journey, result)) this.startAttempt(journey);
         else if (journey.running.size === 0) return this.conclude(journey);
       }
     }
@@ -177,8 +177,9 @@
     }
   }
 
-  private canHedge({ call, running, sent }: Journey): boolean {
-    return call.route.isRepeatable && running.size === 1 && sent < call.route.maxAttempts;
+  private canHedge({ call, running, sent, hasHedged }: Journey): boolean {
+    const isOpen = call.route.isRepeatable && sent < call.route.maxAttempts;
+    return isOpen && running.size === 1 && !hasHedged;
   }
 
   private hedgeDelay({ call, running }: Journey): number {
@@ -192,9 +193,8 @@
     const [attempt] = journey.running;
     const offer = attempt?.offer;
     if (offer !== undefined) this.settings.directory.suspect(offer.candidate.target, hedgedOdds);
-    if (this.takeRetry(journey)) this.startAttempt(journey);
-    // Without budget the journey goes on with the attempt that it has.
-    else journey.sent = journey.call.route.maxAttempts;
+    journey.hasHedged = true;
+    this.startAttempt(journey);
   }
 
   private canRetry({ call, due, sent }: Journey, result: AttemptResult): boolean {
@@ -204,10 +204,6 @@
     return call.route.isRepeatable;
   }
 
-  private takeRetry({ call }: Journey): boolean {
-    return this.settings.retries.takeRetry(call.service);
-  }
-
   /** Keeps the failure that says most: an answer of a target, then an unknown outcome, then a refusal. */
   private worse(known: AttemptResult | undefined, next: AttemptResult): AttemptResult {
     const weight = { answer: 2, failed: 1, refused: 0 } as const;
@@ -253,6 +249,7 @@
   /** Runs the request at one target; homes that refuse are passed over. */
   private async attempt(journey: Journey, attempt: Attempt): Promise<AttemptResult> {
     let refusal: HomeRefusalError | undefined;
+    let budgetRefusals = 0;
     for (let refusals = 0; refusals < maxRefusals && !attempt.abort.signal.aborted; refusals += 1) {
       const next = this.choose(journey);
       if (next instanceof HomeRefusalError) return { type: 'refused', error: refusal ?? next };
@@ -261,6 +258,10 @@
       if (result.type !== 'refused') return result;
       refusal = result.error;
       if (refusal.details.hasReachedTarget === true) return result;
+      if (refusal.reason === 'limit') {
+        budgetRefusals += 1;
+        if (budgetRefusals >= maxBudgetRefusals) return result;
+      }
     }
     return { type: 'refused', error: refusal ?? this.noTarget(journey) };
   }
@@ -306,6 +307,7 @@
         timeout: journey.due - started - answerMargin,
         patience: choice.patience,
         isForced: choice.isForced,
+        isRepeat: journey.sent > 1,
         version: version(),
         onStart: () => {
           attempt.hasStarted = true;
--- a/src/common/dispatch/Types.ts
+++ b/src/common/dispatch/Types.ts
@@ -56,6 +56,8 @@
   readonly patience: number;
   /** Run it even if the target is suspected: no better one is left. */
   readonly isForced: boolean;
+  /** The request was sent to another target before, so it draws on the retry budget. */
+  readonly isRepeat: boolean;
   /** Version of the configuration by which the request was routed. */
   readonly version: number;
   /** Called at the moment from which the request may run. */
--- a/src/common/fleet/FleetDirectory.ts
+++ b/src/common/fleet/FleetDirectory.ts
@@ -151,6 +151,14 @@
     return found;
   }
 
+  /** Number of targets of a service, those that are not tried now included. */
+  public countTargets(service: ServiceName): number {
+    return this.records.reduce(
+      (sum, { targets }) => sum + targets.filter((target) => target.service === service).length,
+      0,
+    );
+  }
+
   private createCandidate(record: DaemonRecord, target: PublishedTarget, now: number): Candidate {
     const note = this.noteOf(target.id);
     return {
--- a/src/sidecar/Home.test.ts
+++ b/src/sidecar/Home.test.ts
@@ -18,7 +18,7 @@
   signature: 'signature',
   notRun: 'not-run',
 };
-const signal = new AbortController().signal;
+const {signal} = new AbortController();
 
 /** Writes a head with the echoed id and the signature. */
 function answer(request: RawRequest, extra: string, body: string, status = '200 OK'): string {
@@ -57,6 +57,7 @@
     timeout: 2_000,
     patience: 0,
     isForced: false,
+    isRepeat: false,
     isRepeatable: false,
     rank: 1,
     route: 'listing',
@@ -98,6 +99,8 @@
       names,
       clock: new SystemClock(),
       log: new MemoryLog(),
+      allowance: () => ({ ratio: 0.2, slack: 2, window: 10 }),
+      countTargets: () => 1,
     });
     home.announce(report(address));
   });
@@ -291,6 +294,13 @@
     });
   });
 
+  it('runs repeats only within the retry budget', async () => {
+    const change = { isRepeat: true, isRepeatable: true };
+    expect(await run(home, change)).to.equal('200 good');
+    expect(await run(home, change)).to.equal('not run: limit');
+    expect(target.requests).to.have.length(1);
+  });
+
   const foreign = [
     { name: 'at another address', change: { address: '10.9.9.9:1', id: brandAs<TargetId>('t-9') } },
     {
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -15,6 +15,7 @@
 import { TargetRegister, targetIncarnation } from '../common/fleet/TargetRegister.js';
 import type { PublishedTarget, TargetReport } from '../common/fleet/Types.js';
 import { logit, SicknessFilter, type RunningRequest } from '../common/health/SicknessFilter.js';
+import { ArrivalBudget, type FleetAllowance } from '../common/retry/ArrivalBudget.js';
 import { TargetFailure } from '../daemon/TargetFailure.js';
 import { TargetLink, type StreamedAnswer } from './TargetLink.js';
 import type { BodyProvider, HeaderVocabulary, HomeOrder } from './Types.js';
@@ -51,6 +52,10 @@
   readonly names: HeaderVocabulary;
   readonly clock: Clock;
   readonly log: LogSink;
+  /** Retry budget of the fleet. */
+  readonly allowance: () => FleetAllowance;
+  /** Number of targets of the service of this VM. */
+  readonly countTargets: () => number;
 }
 
 /** Home of the target on this VM: the only way to it, so that admission and draining are decided in one place. */
@@ -63,6 +68,8 @@
 
   private readonly changeEmitter = new Emitter<void>();
 
+  private readonly budget: ArrivalBudget;
+
   private isLeaving = false;
 
   private review: Disposable | undefined;
@@ -72,7 +79,10 @@
   /** Fires when what the fleet must know of the targets has changed. */
   public readonly onChange = this.changeEmitter.event;
 
-  public constructor(private readonly settings: HomeSettings) {}
+  public constructor(private readonly settings: HomeSettings) {
+    const { allowance, countTargets, clock } = settings;
+    this.budget = new ArrivalBudget(allowance, countTargets, clock);
+  }
 
   /** Requests that run or wait here. */
   public get load(): number {
@@ -210,6 +220,7 @@
   ): Promise<StreamedAnswer> {
     const started = this.settings.clock.elapsed();
     const hosted = this.find(order);
+    if (order.isRepeat && !this.budget.hasRoom) throw this.refuse(hosted, 'limit', order);
     this.checkHealth(hosted, order);
     this.scheduleReview();
     const { rank, patience, isRepeatable, isForced } = order;
@@ -262,6 +273,8 @@
   ): Promise<StreamedAnswer> {
     const { times } = this.memory.of({ name: order.route, goal: order.goal });
     const running = hosted.filter.start(times);
+    if (order.isRepeat) this.budget.recordRepeat();
+    else this.budget.recordFirst();
     try {
       const answer = await hosted.link.send(order, body, timeout, signal);
       return this.follow(hosted, order, answer, running, permit, signal);
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -21,7 +21,7 @@
 import { PrefixFollower } from '../common/fleet/PrefixFollower.js';
 import { Registration } from '../common/fleet/Registration.js';
 import type { DaemonRecord, PolledStore } from '../common/fleet/Types.js';
-import { SharedRetryBudget, type FleetAllowance } from '../common/retry/SharedRetryBudget.js';
+import type { FleetAllowance } from '../common/retry/ArrivalBudget.js';
 import type { TrafficConfiguration } from '../common/routing/TrafficTypes.js';
 import { CallerServer } from './CallerServer.js';
 import { holdBody } from './holdBody.js';
@@ -112,7 +112,15 @@
     this.traffic = new TrafficState(log);
     this.directory = new FleetDirectory(clock, log);
     this.home = this.disposables.add(
-      new Home({ address: settings.target, service: settings.service, names, clock, log }),
+      new Home({
+        address: settings.target,
+        service: settings.service,
+        names,
+        clock,
+        log,
+        allowance: () => this.retryAllowance(),
+        countTargets: () => this.directory.countTargets(settings.service),
+      }),
     );
     this.registration = this.disposables.add(
       new Registration({
@@ -217,11 +225,6 @@
       clock,
       directory,
       placement: new Placement(settings, random),
-      retries: new SharedRetryBudget(
-        () => this.retryAllowance(),
-        () => directory.size,
-        clock,
-      ),
       memory,
       send: (candidate, order, signal) => this.send(candidate, order, signal),
       version: () => traffic.version,
--- a/src/sidecar/Types.ts
+++ b/src/sidecar/Types.ts
@@ -30,6 +30,8 @@
   /** Milliseconds for which it may wait for a slot. */
   readonly patience: number;
   readonly isForced: boolean;
+  /** It was sent to another target before. */
+  readonly isRepeat: boolean;
   readonly isRepeatable: boolean;
   readonly rank: number;
   readonly route: string;
--- a/src/sidecar/peerHeaders.ts
+++ b/src/sidecar/peerHeaders.ts
@@ -25,6 +25,7 @@
   readonly ms: number;
   readonly p: number;
   readonly f: boolean;
+  readonly a: boolean;
   readonly r: boolean;
   readonly k: number;
   readonly n: string;
@@ -41,6 +42,7 @@
   readonly timeout: number;
   readonly patience: number;
   readonly isForced: boolean;
+  readonly isRepeat: boolean;
   readonly isRepeatable: boolean;
   readonly rank: number;
   readonly route: string;
@@ -63,6 +65,7 @@
     timeout: Math.round(order.timeout),
     patience: Math.round(order.patience),
     isForced: order.isForced,
+    isRepeat: order.isRepeat,
     isRepeatable: route.isRepeatable,
     rank: route.rank,
     route: route.name,
@@ -81,6 +84,7 @@
     ms: head.timeout,
     p: head.patience,
     f: head.isForced,
+    a: head.isRepeat,
     r: head.isRepeatable,
     k: head.rank,
     n: head.route,
@@ -103,6 +107,7 @@
       timeout: wire.ms,
       patience: wire.p,
       isForced: wire.f,
+      isRepeat: wire.a,
       isRepeatable: wire.r,
       rank: wire.k,
       route: wire.n,
--- a/src/testing/FakePolledStore.ts
+++ b/src/testing/FakePolledStore.ts
@@ -1,5 +1,13 @@
-import { StoreError, type Clock, type StoreChange, type StoreEntry } from '../api/index.js';
-import type { StoreCompare, StoreTransaction, StoreWrite } from '../api/index.js';
+import { StoreError } from '../api/index.js';
+import type {
+  StoreCompare,
+  StoreTransaction,
+  StoreWrite,
+  Clock,
+  Disposable,
+  StoreChange,
+  StoreEntry,
+} from '../api/index.js';
 import { HistoryLostError, LeaseLapsedError } from '../common/fleet/errors.js';
 import type { PolledStore, StoreChanges, StoreSnapshot } from '../common/fleet/Types.js';
 
@@ -208,20 +216,18 @@
   private waitForChange(prefix: string, wait: number, signal: AbortSignal): Promise<void> {
     const from = this.revision;
     return new Promise((resolve) => {
-      const timer = this.faults.isSilent ? undefined : this.clock.after(wait, () => finish());
-      const wake = (): void => {
-        const isHit = this.history.some(
-          ({ entry, revision }) => revision > from && entry.key.startsWith(prefix),
-        );
-        if (isHit) finish();
-      };
-      const finish = (): void => {
-        timer?.dispose();
+      const timers: Disposable[] = [];
+      const isHit = (): boolean =>
+        this.history.some(({ entry, revision }) => revision > from && entry.key.startsWith(prefix));
+      const wake = (isEnded = isHit()): void => {
+        if (!isEnded) return;
+        timers.forEach((timer) => timer.dispose());
         this.waiters.delete(wake);
         resolve();
       };
+      if (!this.faults.isSilent) timers.push(this.clock.after(wait, () => wake(true)));
       this.waiters.add(wake);
-      signal.addEventListener('abort', finish, { once: true });
+      signal.addEventListener('abort', () => wake(true), { once: true });
     });
   }
 }
