Count only the slots that serve, and refuse what will not get one

Ruled out: the patience (it ends before the timeout).

Within one rank the request that is due first goes first, so that short calls of other targets do not wait behind long work of their own callers.

--- a/src/common/admission/SlotQueue.test.ts
+++ b/src/common/admission/SlotQueue.test.ts
@@ -3,7 +3,7 @@
 import { VirtualClock } from '../base/index.js';
 import { SlotQueue, type SlotDemand, type SlotPermit } from './SlotQueue.js';
 
-const {signal} = new AbortController();
+const { signal } = new AbortController();
 
 function create(slots: number) {
   const clock = new VirtualClock();
@@ -11,7 +11,7 @@
   const events: string[] = [];
   const permits = new Map<string, SlotPermit>();
   const submit = (name: string, change: Partial<SlotDemand> = {}, abort = signal): void => {
-    const demand = { rank: 1, patience: 5_000, isMovable: false, ...change };
+    const demand = { rank: 1, goal: 1_000, patience: 5_000, isMovable: false, ...change };
     void queue.submit(demand, abort).then((result) => {
       if (isRight(result)) permits.set(name, result.right);
       events.push(isRight(result) ? `${name} runs` : `${name} ${result.left.reason}`);
@@ -34,6 +34,38 @@
     expect(events).to.deep.equal(['first runs', 'bid runs', 'listing runs']);
   });
 
+  it('serves short calls of other targets before long work of the same rank', async () => {
+    const { clock, events, permits, submit } = create(1);
+    submit('first');
+    submit('order', { goal: 800 });
+    submit('call', { goal: 200 });
+    await clock.advanceAsync(0);
+    permits.get('first')?.release();
+    await clock.advanceAsync(0);
+    expect(events).to.deep.equal(['first runs', 'call runs']);
+  });
+
+  it('lets nobody queue for slots that stuck requests hold', async () => {
+    const { clock, events, queue, submit } = create(2);
+    submit('hung');
+    submit('hung too');
+    await clock.advanceAsync(1_500);
+    submit('third', { patience: 3_000 });
+    await clock.advanceAsync(0);
+    expect(queue.load.slots).to.equal(0);
+    expect(events).to.include('third busy');
+  });
+
+  it('refuses a waiting request as soon as it shows that it will not be served', async () => {
+    const { clock, events, queue, submit } = create(1);
+    submit('hung');
+    submit('second', { patience: 3_000 });
+    await clock.advanceAsync(1_300);
+    queue.review();
+    await clock.advanceAsync(0);
+    expect(events).to.include('second busy');
+  });
+
   const refusals = [
     { name: 'at once if it cannot get a slot in its patience', patience: 0, after: 0 },
     { name: 'when its patience ends', patience: 2_000, after: 2_000 },
--- a/src/common/admission/SlotQueue.ts
+++ b/src/common/admission/SlotQueue.ts
@@ -5,11 +5,17 @@
 const assumedWork = 300;
 /** Weight of the newest request in the mean work. */
 const workWeight = 0.1;
+/** A request that runs this many times longer than the mean holds its slot until it is given up. */
+const stuckFactor = 4;
+/** Milliseconds that a request waits behind slots that are all held by stuck requests. */
+const hopelessWait = 10_000;
 
 /** A request that asks for a slot. */
 export interface SlotDemand {
   /** 0 is served first. */
   readonly rank: number;
+  /** Latency in milliseconds that is asked for; among equals the one that is due first goes first. */
+  readonly goal: number;
   /** Milliseconds for which it may wait. */
   readonly patience: number;
   /** Whether it is better placed elsewhere if the target falls sick while it waits. */
@@ -28,20 +34,36 @@
   release(): void;
 }
 
+/** Slots that serve at present, without those of stuck requests. */
+export interface SlotLoad {
+  readonly running: number;
+  readonly queued: number;
+  readonly slots: number;
+}
+
 interface Waiting extends SlotDemand {
+  /** Moment at which the answer is asked for. */
+  readonly due: number;
+  /** Moment at which it is refused. */
+  readonly expires: number;
   readonly decide: (result: Either<SlotRefusal, SlotPermit>) => void;
   timer: Disposable | undefined;
 }
 
+function goesBefore(one: Waiting, other: Waiting): boolean {
+  return one.rank === other.rank ? one.due < other.due : one.rank < other.rank;
+}
+
 /**
  * Admission to the slots of one target: more urgent requests go first, and one that cannot get a slot within its
- * patience is refused on arrival. Answers the load of a crest, where a queue behind full slots would only hold
- * requests that another target could run.
+ * patience is refused on arrival, or as soon as that shows. Answers the load of a crest at which some targets hang:
+ * slots of stuck requests do not count, so that nobody queues for a slot that will not be free.
  */
 export class SlotQueue implements Disposable {
   private readonly waiting: Waiting[] = [];
 
-  private held = 0;
+  /** Start of each request that holds a slot. */
+  private readonly held = new Set<{ readonly started: number }>();
 
   private meanWork = assumedWork;
 
@@ -50,9 +72,9 @@
     private readonly clock: Clock,
   ) {}
 
-  /** Requests that hold a slot. */
+  /** Requests that hold a slot, the stuck ones included. */
   public get running(): number {
-    return this.held;
+    return this.held.size;
   }
 
   /** Requests that wait. */
@@ -65,27 +87,40 @@
     return this.meanWork;
   }
 
+  /** Present load of the slots that serve. */
+  public get load(): SlotLoad {
+    const stuck = this.countStuck();
+    return {
+      running: this.held.size - stuck,
+      queued: this.waiting.length,
+      slots: Math.max(0, this.slots - stuck),
+    };
+  }
+
   /** Changes the number of slots. */
   public resize(slots: number): void {
     this.slots = slots;
     this.grant();
   }
 
-  /** Milliseconds that a request of this rank is expected to wait. */
-  public expectedWait(rank: number): number {
-    if (this.held < this.slots && this.waiting.length === 0) return 0;
-    const ahead = this.waiting.filter((other) => other.rank <= rank).length;
-    return ((ahead + 1 + this.held - this.slots) * this.meanWork) / this.slots;
-  }
-
   /** Asks for a slot. */
   public submit(demand: SlotDemand, signal: AbortSignal): Promise<Either<SlotRefusal, SlotPermit>> {
-    const wait = this.expectedWait(demand.rank);
-    if (wait > demand.patience) {
-      return Promise.resolve(left({ reason: 'busy', retryAfter: wait }));
-    }
+    const now = this.clock.elapsed();
     return new Promise((resolve) => {
-      const entry: Waiting = { ...demand, decide: resolve, timer: undefined };
+      const entry: Waiting = {
+        ...demand,
+        due: now + demand.goal,
+        expires: now + demand.patience,
+        decide: resolve,
+        timer: undefined,
+      };
+      const wait = this.waitBehind(
+        this.waiting.filter((other) => !goesBefore(entry, other)).length,
+      );
+      if (wait > demand.patience) {
+        resolve(left({ reason: 'busy', retryAfter: wait }));
+        return;
+      }
       this.insert(entry);
       this.grant();
       if (!this.waiting.includes(entry)) return;
@@ -94,6 +129,14 @@
     });
   }
 
+  /** Refuses the waiting requests that will not get a slot in time. */
+  public review(): void {
+    const now = this.clock.elapsed();
+    [...this.waiting].forEach((entry, index) => {
+      if (this.waitBehind(index) > entry.expires - now) this.refuse(entry, 'busy');
+    });
+  }
+
   /** Refuses the waiting requests that fit, so that they can be placed elsewhere. */
   public evict(reason: SlotRefusal['reason'], fits: (demand: SlotDemand) => boolean): void {
     this.waiting.filter((entry) => fits(entry)).forEach((entry) => this.refuse(entry, reason));
@@ -103,15 +146,29 @@
     this.evict('draining', () => true);
   }
 
+  /** Milliseconds until a request behind `ahead` others is expected to get a slot. */
+  private waitBehind(ahead: number): number {
+    if (this.held.size + ahead < this.slots) return 0;
+    const { running, slots } = this.load;
+    if (slots === 0) return hopelessWait;
+    return ((ahead + 1 + running - slots) * this.meanWork) / slots;
+  }
+
+  private countStuck(): number {
+    const limit = this.clock.elapsed() - stuckFactor * this.meanWork;
+    return [...this.held].filter(({ started }) => started < limit).length;
+  }
+
   private insert(entry: Waiting): void {
-    const index = this.waiting.findIndex((other) => other.rank > entry.rank);
+    const index = this.waiting.findIndex((other) => goesBefore(entry, other));
     if (index < 0) this.waiting.push(entry);
     else this.waiting.splice(index, 0, entry);
   }
 
   private refuse(entry: Waiting, reason: SlotRefusal['reason']): void {
+    const index = this.waiting.indexOf(entry);
     if (!this.remove(entry)) return;
-    entry.decide(left({ reason, retryAfter: this.expectedWait(entry.rank) }));
+    entry.decide(left({ reason, retryAfter: this.waitBehind(index) }));
   }
 
   private remove(entry: Waiting): boolean {
@@ -123,7 +180,7 @@
   }
 
   private grant(): void {
-    while (this.held < this.slots) {
+    while (this.held.size < this.slots) {
       const next = this.waiting[0];
       if (next === undefined) return;
       this.remove(next);
@@ -132,15 +189,14 @@
   }
 
   private createPermit(): SlotPermit {
-    const started = this.clock.elapsed();
-    let isReleased = false;
-    this.held += 1;
+    const holder = { started: this.clock.elapsed() };
+    this.held.add(holder);
     return {
       release: () => {
-        if (isReleased) return;
-        isReleased = true;
-        this.held -= 1;
-        this.meanWork += workWeight * (this.clock.elapsed() - started - this.meanWork);
+        if (!this.held.delete(holder)) return;
+        // A stuck request says nothing of the work of the others.
+        const work = Math.min(this.clock.elapsed() - holder.started, stuckFactor * this.meanWork);
+        this.meanWork += workWeight * (work - this.meanWork);
         this.grant();
       },
     };
--- a/src/common/dispatch/Placement.ts
+++ b/src/common/dispatch/Placement.ts
@@ -13,6 +13,8 @@
 const tieRange = 15;
 /** Milliseconds after which a reported load tells half as much. */
 const loadHalfLife = 700;
+/** Slots that are reckoned with when all are held by stuck requests: they are given up one after the other. */
+const leastServing = 0.2;
 /** Part of the mean work that a full target costs, even with a free slot: targets slow down when nearly full. */
 const crowdingCost = 0.5;
 /** A lost request that cannot be repeated costs this many times the latency that the operators ask for. */
@@ -39,9 +41,11 @@
   if (condition === undefined) return inFlight < slots ? 0 : inFlight * 100;
   const trust = 0.5 ** (age / loadHalfLife);
   const reported = condition.running + condition.queued;
-  const busy = Math.max(inFlight, reported * trust);
-  const excess = busy + 1 - slots;
-  return excess > 0 ? (excess * condition.work) / slots : 0;
+  const serving = slots - (slots - condition.slots) * trust;
+  // Own requests may be the stuck ones, so they count only where nothing else is known.
+  const busy = Math.max(Math.min(inFlight, serving), reported * trust);
+  const excess = busy + 1 - serving;
+  return excess > 0 ? (excess * condition.work) / Math.max(leastServing, serving) : 0;
 }
 
 /** Load of the slots between 0 and 1. */
--- a/src/common/dispatch/Types.ts
+++ b/src/common/dispatch/Types.ts
@@ -36,8 +36,10 @@
 
 /** Load and health of a target as its home sees it. */
 export interface TargetCondition {
+  /** Requests that run and are not stuck. */
   readonly running: number;
   readonly queued: number;
+  /** Slots that are not held by stuck requests. */
   readonly slots: number;
   /** Mean milliseconds in a slot. */
   readonly work: number;
--- a/src/sidecar/Home.test.ts
+++ b/src/sidecar/Home.test.ts
@@ -18,7 +18,7 @@
   signature: 'signature',
   notRun: 'not-run',
 };
-const {signal} = new AbortController();
+const { signal } = new AbortController();
 
 /** Writes a head with the echoed id and the signature. */
 function answer(request: RawRequest, extra: string, body: string, status = '200 OK'): string {
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -223,8 +223,8 @@
     if (order.isRepeat && !this.budget.hasRoom) throw this.refuse(hosted, 'limit', order);
     this.checkHealth(hosted, order);
     this.scheduleReview();
-    const { rank, patience, isRepeatable, isForced } = order;
-    const demand = { rank, patience, isMovable: !isRepeatable && !isForced };
+    const { rank, goal, patience, isRepeatable, isForced } = order;
+    const demand = { rank, goal, patience, isMovable: !isRepeatable && !isForced };
     const result = await hosted.queue.submit(demand, signal);
     if (isLeft(result)) {
       const { reason, retryAfter } = result.left;
@@ -332,11 +332,12 @@
     });
   }
 
-  private conditionOf({ queue, filter, report }: Hosted, change: number): TargetCondition {
+  private conditionOf({ queue, filter }: Hosted, change: number): TargetCondition {
+    const { running, queued, slots } = queue.load;
     return {
-      running: Math.max(0, queue.running + change),
-      queued: queue.queued,
-      slots: report.slots,
+      running: Math.max(0, running + change),
+      queued,
+      slots,
       work: Math.round(queue.work),
       sickness: Number(filter.now.toFixed(2)),
     };
@@ -351,6 +352,7 @@
       this.hosted.forEach(({ queue, filter }) => {
         if (queue.queued === 0) return;
         isNeeded = true;
+        queue.review();
         if (filter.now >= suspectOdds) queue.evict('suspect', ({ isMovable }) => isMovable);
       });
       if (isNeeded) this.scheduleReview();
