--- a/src/common/dispatch/Dispatcher.ts
+++ b/src/common/dispatch/Dispatcher.ts
@@ -257,7 +257,9 @@
       const result = await this.send(journey, attempt, next);
       if (result.type !== 'refused') return result;
       refusal = result.error;
-      if (refusal.details.hasReachedTarget === true) return result;
+      if (refusal.details.hasReachedTarget === true || refusal.reason === 'quarantined') {
+        return result;
+      }
       if (refusal.reason === 'limit') {
         budgetRefusals += 1;
         if (budgetRefusals >= maxBudgetRefusals) return result;
--- /dev/null
+++ b/src/common/fleet/FollowedStore.ts
@@ -0,0 +1,52 @@
+import { DisposableStore, Emitter } from '../base/index.js';
+import type { Store, StoreChange, StoreEntry, StoreRange, StoreWatch } from '../services/Types.js';
+import type { PrefixFollower } from './PrefixFollower.js';
+import type { PolledStore } from './Types.js';
+
+/** What the owners of records need of a store: reads, conditional writes and watches. */
+export type RecordStore = Pick<Store, 'get' | 'range' | 'transact' | 'watch'>;
+
+/** Store whose watches share the polls of one follower, since a poll of its own would cost each owner its calls. */
+export class FollowedStore implements RecordStore {
+  public readonly get: RecordStore['get'];
+
+  public readonly transact: RecordStore['transact'];
+
+  public constructor(
+    private readonly store: Pick<PolledStore, 'get' | 'transact' | 'snapshot'>,
+    private readonly follower: Pick<PrefixFollower, 'onChanges' | 'onSnapshot'>,
+  ) {
+    this.get = (key) => store.get(key);
+    this.transact = (compares, writes) => store.transact(compares, writes);
+  }
+
+  public async range({ prefix }: StoreRange): Promise<readonly StoreEntry[]> {
+    return (await this.store.snapshot(prefix)).entries;
+  }
+
+  /** Delivers the changes below `prefix`, and all entries again when the follower has read them anew. */
+  public watch(prefix: string): StoreWatch {
+    const disposables = new DisposableStore();
+    const changes = disposables.add(new Emitter<StoreChange>());
+    const ends = disposables.add(new Emitter<Error>());
+    disposables.add(
+      this.follower.onChanges((all) => {
+        all
+          .filter(({ entry }) => entry.key.startsWith(prefix))
+          .forEach((change) => changes.fire(change));
+      }),
+    );
+    disposables.add(
+      this.follower.onSnapshot(({ entries }) => {
+        entries
+          .filter(({ key }) => key.startsWith(prefix))
+          .forEach((entry) => changes.fire({ type: 'put', entry }));
+      }),
+    );
+    return {
+      onChange: changes.event,
+      onEnd: ends.event,
+      dispose: () => disposables.dispose(),
+    };
+  }
+}
--- a/src/common/operations/Quarantine.ts
+++ b/src/common/operations/Quarantine.ts
@@ -9,11 +9,19 @@
 } from '../base/index.js';
 import type { Store, StoreEntry } from '../services/Types.js';
 
-const prefix = 'quarantine/';
-/** Crashes of targets after which a fingerprint is refused: it must not reach a third target. */
-const crashLimit = 2;
-/** Milliseconds after its last crash at which a fingerprint is no longer suspect or quarantined. */
-const lifetime = 60 * 60 * 1000;
+/** Keys of the records if nothing else is said. */
+const defaultPrefix = 'quarantine/';
+
+/** When a fingerprint is refused, and for how long. */
+export interface QuarantineLimits {
+  /** Crashes of targets after which a fingerprint is refused. */
+  readonly crashes: number;
+  /** Milliseconds after its last crash at which a fingerprint is no longer suspect or quarantined. */
+  readonly lifetime: number;
+}
+
+/** A fingerprint must not reach a third target. */
+const defaultLimits: QuarantineLimits = { crashes: 2, lifetime: 60 * 60 * 1000 };
 /** Crashes that are forgotten first when more fingerprints than this are suspect. */
 const suspectLimit = 10_000;
 
@@ -38,19 +46,12 @@
 
 /** What the quarantine is built from. */
 export interface QuarantineContext {
-  readonly store: Store;
+  readonly store: Pick<Store, 'get' | 'range' | 'transact' | 'watch'>;
   readonly clock: Clock;
   readonly log: LogSink;
-}
-
-function keyOf(fingerprint: Fingerprint): string {
-  return `${prefix}${fingerprint}`;
-}
-
-function parse(entry: StoreEntry): QuarantineEntry {
-  const text = new TextDecoder().decode(entry.value);
-  const value = JSON.parse(text) as { crashes: string[]; crashedAt: number };
-  return { fingerprint: brandAs<Fingerprint>(entry.key.slice(prefix.length)), ...value };
+  /** Prefix of the keys of the records. */
+  readonly prefix?: string;
+  readonly limits?: QuarantineLimits;
 }
 
 /**
@@ -64,26 +65,34 @@
 
   private isDisposed = false;
 
-  public constructor(private readonly context: QuarantineContext) {}
+  private readonly prefix: string;
+
+  private readonly limits: QuarantineLimits;
+
+  public constructor(private readonly context: QuarantineContext) {
+    this.prefix = context.prefix ?? defaultPrefix;
+    this.limits = context.limits ?? defaultLimits;
+  }
 
   /** Reads the store's records and follows their changes. Throws `StoreError`; local decisions work without it. */
   public async load(): Promise<void> {
     const { store } = this.context;
     this.watch?.dispose();
-    const watch = store.watch(prefix);
+    const watch = store.watch(this.prefix);
     this.watch = watch;
     watch.onChange(({ type, entry }) => {
-      if (type === 'put') this.merge(parse(entry));
-      else this.entries.delete(brandAs<Fingerprint>(entry.key.slice(prefix.length)));
+      if (type === 'put') this.merge(this.parse(entry));
+      else this.entries.delete(brandAs<Fingerprint>(entry.key.slice(this.prefix.length)));
     });
-    (await store.range({ prefix })).map(parse).forEach((entry) => this.merge(entry));
+    const entries = await store.range({ prefix: this.prefix });
+    entries.forEach((entry) => this.merge(this.parse(entry)));
   }
 
   /** Standing of a fingerprint. */
   public check(fingerprint: Fingerprint): Standing {
     const entry = this.find(fingerprint);
     if (entry === undefined) return 'clear';
-    return entry.crashes.length >= crashLimit ? 'quarantined' : 'suspect';
+    return entry.crashes.length >= this.limits.crashes ? 'quarantined' : 'suspect';
   }
 
   /** Whether a fingerprint may run on a target beside those in flight: two suspects never share a target. */
@@ -115,7 +124,7 @@
   public async clear(fingerprint: Fingerprint): Promise<boolean> {
     this.entries.delete(fingerprint);
     try {
-      await this.context.store.transact([], [{ type: 'delete', key: keyOf(fingerprint) }]);
+      await this.context.store.transact([], [{ type: 'delete', key: this.keyOf(fingerprint) }]);
       return true;
     } catch (error) {
       this.warn(fingerprint, error);
@@ -128,10 +137,20 @@
     this.watch?.dispose();
   }
 
+  private keyOf(fingerprint: Fingerprint): string {
+    return `${this.prefix}${fingerprint}`;
+  }
+
+  private parse(entry: StoreEntry): QuarantineEntry {
+    const text = new TextDecoder().decode(entry.value);
+    const value = JSON.parse(text) as { crashes: string[]; crashedAt: number };
+    return { fingerprint: brandAs<Fingerprint>(entry.key.slice(this.prefix.length)), ...value };
+  }
+
   private find(fingerprint: Fingerprint): QuarantineEntry | undefined {
     const entry = this.entries.get(fingerprint);
     if (entry === undefined) return undefined;
-    if (this.context.clock.now().getTime() - entry.crashedAt < lifetime) return entry;
+    if (this.context.clock.now().getTime() - entry.crashedAt < this.limits.lifetime) return entry;
     this.entries.delete(fingerprint);
     return undefined;
   }
@@ -167,9 +186,9 @@
 
   private async trySave(fingerprint: Fingerprint): Promise<boolean> {
     const { store } = this.context;
-    const key = keyOf(fingerprint);
+    const key = this.keyOf(fingerprint);
     const present = await store.get(key);
-    if (present !== undefined) this.merge(parse(present));
+    if (present !== undefined) this.merge(this.parse(present));
     const entry = this.find(fingerprint);
     // It was cleared meanwhile.
     if (entry === undefined) return true;
--- a/src/daemon/CrashGuard.ts
+++ b/src/daemon/CrashGuard.ts
@@ -1,34 +1,48 @@
 import {
   DisposableStore,
   NotRunError,
-  type Clock,
   type Disposable,
+  type Event,
   type Fingerprint,
-  type LogSink,
+  type Incarnation,
   type RandomSource,
   type RequestContext,
-  type Store,
   type TargetId,
+  type TargetOutcome,
 } from '../api/index.js';
-import { Quarantine } from '../common/operations/index.js';
-import type { LocalHome, OutcomeEvent } from './LocalHome.js';
-import { probeTarget } from './probeTarget.js';
-import type { ForwardRequest } from './Types.js';
+import { Quarantine, type QuarantineContext } from '../common/operations/index.js';
 
 /** Milliseconds between two reads of the store's records, which also renew a watch that has ended. */
 const reloadInterval = 30_000;
 /** Milliseconds for which a lost request still counts as in flight: the others of a crash are lost soon after. */
 const lossMemory = 2_000;
 
+/** What the guard needs to know of a request. */
+export interface GuardedRequest {
+  readonly target: TargetId;
+  readonly context: Pick<RequestContext, 'fingerprint'>;
+}
+
+/** End of a request at a target. */
+export interface GuardedOutcome {
+  readonly target: TargetId;
+  readonly incarnation: Incarnation;
+  readonly request: GuardedRequest;
+  readonly outcome: Pick<TargetOutcome, 'kind'>;
+}
+
+/** Home whose requests are watched. */
+export interface GuardedHome {
+  readonly onStart: Event<GuardedRequest>;
+  readonly onOutcome: Event<GuardedOutcome>;
+}
+
 /** What the guard depends on. */
-export interface CrashGuardSettings {
-  readonly store: Store;
-  readonly clock: Clock;
+export interface CrashGuardSettings extends QuarantineContext {
   readonly random: RandomSource;
-  readonly log: LogSink;
-  readonly home: LocalHome;
-  /** `host:port` of a target of this home. */
-  readonly addressOf: (target: TargetId) => string | undefined;
+  readonly home: GuardedHome;
+  /** Whether a target of this home that has broken a connection is down; resolves and never rejects. */
+  readonly isDown: (target: TargetId) => Promise<boolean>;
 }
 
 /** Watches for targets that crash with requests in flight, and refuses requests that did it twice. */
@@ -37,7 +51,7 @@
 
   private readonly quarantine: Quarantine;
 
-  private readonly running = new Map<TargetId, Set<ForwardRequest>>();
+  private readonly running = new Map<TargetId, Set<GuardedRequest>>();
 
   private timer: Disposable | undefined;
 
@@ -50,20 +64,27 @@
   /** Reads the store's records now and from time to time. */
   public start(): void {
     // Decisions go on with the local records while the store is away.
-    this.quarantine.load().catch(() => {});
+    this.quarantine.load().catch((error: unknown) => {
+      this.settings.log.write({
+        level: 'info',
+        kind: 'operation',
+        message: 'the quarantine records cannot be read; those known here hold',
+        fields: { step: 'quarantine.load', error: String(error) },
+      });
+    });
     const delay = reloadInterval * (0.5 + this.settings.random());
     this.timer = this.settings.clock.after(delay, () => this.start());
   }
 
   /** Throws `NotRunError` for a request that was in flight at two crashes. */
-  public check({ fingerprint }: RequestContext): void {
+  public check({ fingerprint }: GuardedRequest['context']): void {
     if (fingerprint === undefined || this.quarantine.check(fingerprint) !== 'quarantined') return;
     const message = 'the request was in flight when two targets crashed';
     throw new NotRunError('quarantined', message, { step: 'quarantine.check' });
   }
 
   /** Throws `NotRunError` if the request may not run beside those at its target: suspects run apart. */
-  public checkAt(request: ForwardRequest): void {
+  public checkAt(request: GuardedRequest): void {
     this.check(request.context);
     const { fingerprint } = request.context;
     const others = this.fingerprintsAt(request.target);
@@ -83,13 +104,13 @@
     );
   }
 
-  private noteStart(request: ForwardRequest): void {
+  private noteStart(request: GuardedRequest): void {
     const known = this.running.get(request.target);
     if (known === undefined) this.running.set(request.target, new Set([request]));
     else known.add(request);
   }
 
-  private noteOutcome({ target, incarnation, request, outcome }: OutcomeEvent): void {
+  private noteOutcome({ target, incarnation, request, outcome }: GuardedOutcome): void {
     const { fingerprint } = request.context;
     const forget = (): void => {
       this.running.get(target)?.delete(request);
@@ -105,13 +126,9 @@
     void this.reportIfCrashed(target, incarnation);
   }
 
-  private async reportIfCrashed(
-    target: TargetId,
-    incarnation: OutcomeEvent['incarnation'],
-  ): Promise<void> {
+  private async reportIfCrashed(target: TargetId, incarnation: Incarnation): Promise<void> {
     const fingerprints = this.fingerprintsAt(target);
-    const address = this.settings.addressOf(target);
-    if (address === undefined || (await probeTarget(address)).kind !== 'unreachable') return;
+    if (!(await this.settings.isDown(target))) return;
     this.settings.log.write({
       level: 'warn',
       kind: 'ejection',
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -14,6 +14,7 @@
   type RequestId,
   type ServiceName,
   type TargetAnnouncement,
+  type TargetId,
 } from '../api/index.js';
 import { PathTracker } from '../common/health/PathTracker.js';
 import { RetryBudget } from '../common/retry/RetryBudget.js';
@@ -38,6 +39,7 @@
 import { ObservedHome } from './ObservedHome.js';
 import { PeerConnections } from './PeerConnections.js';
 import { PeerServer } from './PeerServer.js';
+import { probeTarget } from './probeTarget.js';
 import { Quotas } from './Quotas.js';
 import { RemoteHome } from './RemoteHome.js';
 import { RequestMetrics } from './RequestMetrics.js';
@@ -152,7 +154,7 @@
         random,
         log: this.log,
         home: this.home,
-        addressOf: (target) => this.membership.announcements.get(target)?.address,
+        isDown: (target) => this.isTargetDown(target),
       }),
     );
     this.membership = this.disposables.add(this.createMembership());
@@ -303,6 +305,12 @@
     });
   }
 
+  private async isTargetDown(target: TargetId): Promise<boolean> {
+    const address = this.membership.announcements.get(target)?.address;
+    if (address === undefined) return false;
+    return (await probeTarget(address)).kind === 'unreachable';
+  }
+
   /** Milliseconds that a doubtful path adds to the expected wait. */
   private pathPenalty(daemon: DaemonId): number {
     const preference = this.paths.preference(daemon, this.environment.clock.elapsed());
--- a/src/sidecar/Home.test.ts
+++ b/src/sidecar/Home.test.ts
@@ -101,6 +101,7 @@
       log: new MemoryLog(),
       allowance: () => ({ ratio: 0.2, slack: 2, window: 10 }),
       countTargets: () => 1,
+      checkStart: () => {},
     });
     home.announce(report(address));
   });
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -2,6 +2,7 @@
 import { isLeft } from 'fp-ts/lib/Either.js';
 import {
   Emitter,
+  NotRunError,
   type Clock,
   type Disposable,
   type LogSink,
@@ -16,6 +17,8 @@
 import type { PublishedTarget, TargetReport } from '../common/fleet/Types.js';
 import { logit, SicknessFilter, type RunningRequest } from '../common/health/SicknessFilter.js';
 import { ArrivalBudget, type FleetAllowance } from '../common/retry/ArrivalBudget.js';
+import type { GuardedOutcome, GuardedRequest } from '../daemon/CrashGuard.js';
+import { createFingerprint } from '../daemon/fingerprint.js';
 import { TargetFailure } from '../daemon/TargetFailure.js';
 import { TargetLink, type StreamedAnswer } from './TargetLink.js';
 import type { BodyProvider, HeaderVocabulary, HomeOrder } from './Types.js';
@@ -44,6 +47,12 @@
   downUntil: number;
 }
 
+/** A request at a target with what is kept of it. */
+interface TargetRun {
+  readonly running: RunningRequest;
+  readonly guarded: GuardedRequest;
+}
+
 /** What a home depends on. */
 export interface HomeSettings {
   /** `host:port` of the only target that may announce itself here. */
@@ -56,6 +65,8 @@
   readonly allowance: () => FleetAllowance;
   /** Number of targets of the service of this VM. */
   readonly countTargets: () => number;
+  /** Throws `NotRunError` if a request that has a slot must not run at its target. */
+  readonly checkStart: (request: GuardedRequest) => void;
 }
 
 /** Home of the target on this VM: the only way to it, so that admission and draining are decided in one place. */
@@ -68,6 +79,16 @@
 
   private readonly changeEmitter = new Emitter<void>();
 
+  private readonly startEmitter = new Emitter<GuardedRequest>();
+
+  private readonly outcomeEmitter = new Emitter<GuardedOutcome>();
+
+  /** Fires just before a request is sent to a target. */
+  public readonly onStart = this.startEmitter.event;
+
+  /** Fires when a request at a target has ended. */
+  public readonly onOutcome = this.outcomeEmitter.event;
+
   private readonly budget: ArrivalBudget;
 
   private isLeaving = false;
@@ -167,6 +188,8 @@
     this.hosted.forEach((hosted) => hosted.dispose());
     this.hosted.clear();
     this.changeEmitter.dispose();
+    this.startEmitter.dispose();
+    this.outcomeEmitter.dispose();
   }
 
   private apply(report: TargetReport, type: string): void {
@@ -271,16 +294,17 @@
     permit: SlotPermit,
     signal: AbortSignal,
   ): Promise<StreamedAnswer> {
+    const guarded = this.guard(hosted, order, body);
     const { times } = this.memory.of({ name: order.route, goal: order.goal });
     const running = hosted.filter.start(times);
     if (order.isRepeat) this.budget.recordRepeat();
     else this.budget.recordFirst();
     try {
       const answer = await hosted.link.send(order, body, timeout, signal);
-      return this.follow(hosted, order, answer, running, permit, signal);
+      return this.follow(hosted, order, answer, { running, guarded }, permit, signal);
     } catch (failure) {
       if (!(failure instanceof TargetFailure)) throw failure;
-      this.settle(hosted, order, running, failure.kind);
+      this.settle(hosted, order, { running, guarded }, failure.kind);
       if (failure.error instanceof HomeRefusalError) {
         const { reason, details } = failure.error;
         throw this.refuse(hosted, reason, order, undefined, details.hasReachedTarget);
@@ -289,12 +313,26 @@
     }
   }
 
+  /** Refuses a request that crashes targets, and tells that this one starts. */
+  private guard(hosted: Hosted, order: HomeOrder, body: Buffer): GuardedRequest {
+    const fingerprint = createFingerprint(order.method, order.path, body);
+    const guarded = { target: hosted.report.id, context: { fingerprint } };
+    try {
+      this.settings.checkStart(guarded);
+    } catch (error) {
+      if (!(error instanceof NotRunError)) throw error;
+      throw this.refuse(hosted, error.reason, order);
+    }
+    this.startEmitter.fire(guarded);
+    return guarded;
+  }
+
   /** Passes the body on and takes its end as evidence. */
   private follow(
     hosted: Hosted,
     order: HomeOrder,
     answer: StreamedAnswer,
-    running: RunningRequest,
+    run: TargetRun,
     permit: SlotPermit,
     signal: AbortSignal,
   ): StreamedAnswer {
@@ -304,7 +342,7 @@
       const isCancelled = signal.aborted || error?.code === 'ERR_STREAM_PREMATURE_CLOSE';
       const whole: OutcomeKind = answer.status >= firstServerError ? 'server-error' : 'success';
       const cut: OutcomeKind = isCancelled ? 'cancelled' : 'truncated';
-      this.settle(hosted, order, running, error ? cut : whole);
+      this.settle(hosted, order, run, error ? cut : whole);
     });
     return { ...answer, body, condition: this.conditionOf(hosted, -1) };
   }
@@ -312,10 +350,16 @@
   private settle(
     hosted: Hosted,
     order: HomeOrder,
-    running: RunningRequest,
+    { running, guarded }: TargetRun,
     kind: OutcomeKind,
   ): void {
     const { filter } = hosted;
+    this.outcomeEmitter.fire({
+      target: guarded.target,
+      incarnation: targetIncarnation(hosted.report),
+      request: guarded,
+      outcome: { kind: kind === 'truncated' ? 'reset' : kind },
+    });
     if (kind === 'success') filter.succeed(running);
     else if (kind === 'cancelled' || kind === 'timeout') filter.cancel(running);
     else if (kind === 'shed') filter.refuse(running);
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -18,12 +18,15 @@
 import type { Candidate, ForwardOrder, TargetAnswer } from '../common/dispatch/Types.js';
 import { decodeRecord, encodeRecord } from '../common/fleet/daemonRecords.js';
 import { FleetDirectory } from '../common/fleet/FleetDirectory.js';
+import { FollowedStore } from '../common/fleet/FollowedStore.js';
 import { PrefixFollower } from '../common/fleet/PrefixFollower.js';
 import { Registration } from '../common/fleet/Registration.js';
 import type { DaemonRecord, PolledStore } from '../common/fleet/Types.js';
 import type { FleetAllowance } from '../common/retry/ArrivalBudget.js';
 import type { TrafficConfiguration } from '../common/routing/TrafficTypes.js';
+import { CrashGuard } from '../daemon/CrashGuard.js';
 import { CallerServer } from './CallerServer.js';
+import { canConnect } from './canConnect.js';
 import { holdBody } from './holdBody.js';
 import { Home } from './Home.js';
 import { HomeServer } from './HomeServer.js';
@@ -37,7 +40,13 @@
 const millisecondsPerSecond = 1_000;
 const randomRange = 0x1_0000_0000;
 /** Keys of the daemons of this fleet. */
-const fleetPrefix = 'limpettrack/daemons/';
+const daemonPrefix = 'limpettrack/daemons/';
+/** Records of requests that crashed targets. */
+const quarantinePrefix = 'limpettrack/quarantine/';
+/** All keys of this fleet; one poll follows them. */
+const fleetPrefix = 'limpettrack/';
+/** A request that crashed three targets is refused; within a minute its caller has given up. */
+const quarantineLimits = { crashes: 3, lifetime: 60_000 };
 /** Seconds after which the record of a dead daemon disappears. */
 const leaseTime = 6;
 /** Milliseconds for which one poll of the store waits; each costs a call. */
@@ -83,6 +92,8 @@
 
   private readonly directory: FleetDirectory;
 
+  private readonly crashGuard: CrashGuard;
+
   private readonly registration: Registration;
 
   private readonly configurationFollower: PrefixFollower;
@@ -120,12 +131,13 @@
         log,
         allowance: () => this.retryAllowance(),
         countTargets: () => this.directory.countTargets(settings.service),
+        checkStart: (request) => this.crashGuard.checkAt(request),
       }),
     );
     this.registration = this.disposables.add(
       new Registration({
         store,
-        key: `${fleetPrefix}${settings.id}`,
+        key: `${daemonPrefix}${settings.id}`,
         leaseTime,
         clock,
         random,
@@ -134,6 +146,18 @@
     );
     this.configurationFollower = this.follow(environment.configuration.key, 0);
     this.fleetFollower = this.follow(fleetPrefix, fleetRest);
+    this.crashGuard = this.disposables.add(
+      new CrashGuard({
+        store: new FollowedStore(store, this.fleetFollower),
+        clock,
+        random,
+        log,
+        prefix: quarantinePrefix,
+        limits: quarantineLimits,
+        home: this.home,
+        isDown: async () => !(await canConnect(settings.target)),
+      }),
+    );
     const onVersion = (version: number): void => this.noteVersion(version);
     this.peers = this.disposables.add(
       new PeerLink({ id: settings.id, region: settings.region, clock, onVersion }),
@@ -158,6 +182,7 @@
     await this.callerServer.listen(settings.callers);
     this.configurationFollower.start();
     this.fleetFollower.start();
+    this.crashGuard.start();
     this.publish();
     this.pruneLater();
     this.logLifecycle('serving');
@@ -280,14 +305,17 @@
   }
 
   private replaceFleet(entries: readonly StoreEntry[]): void {
-    const records = entries.flatMap((entry) => this.readRecord(entry) ?? []);
+    const records = entries
+      .filter(({ key }) => key.startsWith(daemonPrefix))
+      .flatMap((entry) => this.readRecord(entry) ?? []);
     this.directory.replaceAll(records);
     this.isFleetKnown = true;
     this.checkOwnRecord(records.find(({ daemon }) => daemon === this.settings.id));
   }
 
   private changeFleet({ type, entry }: StoreChange): void {
-    const daemon = brandAs<DaemonId>(entry.key.slice(fleetPrefix.length));
+    if (!entry.key.startsWith(daemonPrefix)) return;
+    const daemon = brandAs<DaemonId>(entry.key.slice(daemonPrefix.length));
     const record = type === 'put' ? this.readRecord(entry) : undefined;
     if (record !== undefined) this.directory.put(record);
     else if (type === 'delete') this.directory.unlist(daemon);
--- a/src/testing/FakePolledStore.ts
+++ b/src/testing/FakePolledStore.ts
@@ -64,9 +64,9 @@
   }
 
   /** Writes a key as the operator or another daemon would. */
-  public put(key: string, value: string, lease?: string): number {
+  public put(key: string, value: string | Uint8Array, lease?: string): number {
     this.revision += 1;
-    const content = new TextEncoder().encode(value);
+    const content = typeof value === 'string' ? new TextEncoder().encode(value) : value;
     const entry = { key, value: content, modRevision: this.revision, lease };
     this.entries.set(key, entry);
     this.note({ type: 'put', entry, revision: this.revision });
@@ -145,7 +145,7 @@
     }
     writes.forEach((write) => {
       if (write.type === 'delete') this.remove(write.key);
-      else this.put(write.key, new TextDecoder().decode(write.value), write.lease);
+      else this.put(write.key, write.value, write.lease);
     });
     if (this.faults.losesAnswers) throw this.error('answer lost', 'unknown');
     return { applied: true, revision: this.revision };
