--- a/src/daemon/HttpFront.ts
+++ b/src/daemon/HttpFront.ts
@@ -1,5 +1,4 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
 import { pipeline } from 'node:stream/promises';
 import type { Readable } from 'node:stream';
 import { once } from 'node:events';
@@ -28,6 +27,7 @@
   pairHeaders,
   timeoutHeader,
 } from './Headers.js';
+import { answerConnectionErrors } from './connectionErrors.js';
 import { createFingerprint } from './fingerprint.js';
 import { checkRequest, maxBufferedBody, type CheckedRequest } from './RequestCheck.js';
 import { createResumedBody } from './ResumedBody.js';
@@ -84,11 +84,6 @@
   readonly onFinished: (request: FinishedRequest) => void;
 }
 
-const parserErrors: Readonly<Record<string, readonly [number, string]>> = {
-  HPE_HEADER_OVERFLOW: [431, 'Request Header Fields Too Large'],
-  ERR_HTTP_REQUEST_TIMEOUT: [408, 'Request Timeout'],
-};
-
 async function readWhole(stream: Readable, limit: number): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let size = 0;
@@ -121,9 +116,7 @@
     );
     // The parser would silently drop headers above its own limit; RequestCheck refuses them instead.
     this.server.maxHeadersCount = 0;
-    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      HttpFront.refuseMalformed(error, socket as Socket);
-    });
+    answerConnectionErrors(this.server, { headers: ['limpettrack-outcome: not-run'] });
   }
 
   /** Binds to `host:port` and returns the port. */
@@ -151,16 +144,6 @@
     this.server.closeAllConnections();
   }
 
-  private static refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (!socket.writable || error.code === 'ECONNRESET') {
-      socket.destroy();
-      return;
-    }
-    const [status, text] = parserErrors[error.code ?? ''] ?? [400, 'Bad Request'];
-    const head = `HTTP/1.1 ${status} ${text}\r\nconnection: close\r\ncontent-length: 0\r\n`;
-    socket.end(`${head}limpettrack-outcome: not-run\r\n\r\n`);
-  }
-
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (this.isDraining) response.setHeader('connection', 'close');
     const headers = pairHeaders(request.rawHeaders);
--- a/src/sidecar/CallerServer.ts
+++ b/src/sidecar/CallerServer.ts
@@ -1,7 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { once } from 'node:events';
 import { pipeline } from 'node:stream/promises';
-import type { Socket } from 'node:net';
 import * as E from 'fp-ts/lib/Either.js';
 import {
   brandAs,
@@ -21,6 +20,7 @@
   type TargetAnswer,
 } from '../common/dispatch/Types.js';
 import { choosePart, type TrafficRoute } from '../common/routing/TrafficTypes.js';
+import { answerConnectionErrors } from '../daemon/connectionErrors.js';
 import { dropHopByHop, findHeader, pairHeaders } from '../daemon/Headers.js';
 import { checkRequest, type CheckedRequest } from '../daemon/RequestCheck.js';
 import { sendText } from '../daemon/Responses.js';
@@ -38,11 +38,6 @@
 /** A stopping server closes idle connections this often, in milliseconds. */
 const closeInterval = 500;
 
-const parserErrors: Readonly<Record<string, readonly [number, string]>> = {
-  HPE_HEADER_OVERFLOW: [431, 'Request Header Fields Too Large'],
-  ERR_HTTP_REQUEST_TIMEOUT: [408, 'Request Timeout'],
-};
-
 /** End of one request, for metrics. */
 export interface CallEnd {
   readonly service: string;
@@ -92,9 +87,7 @@
     });
     // The parser would silently drop headers above its own limit; checkRequest refuses them instead.
     this.server.maxHeadersCount = 0;
-    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      CallerServer.refuseMalformed(error, socket as Socket);
-    });
+    answerConnectionErrors(this.server);
     settings.traffic.onChange(() => this.applyLimits());
     this.applyLimits();
   }
@@ -129,15 +122,6 @@
     this.server.closeAllConnections();
   }
 
-  private static refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (!socket.writable || error.code === 'ECONNRESET') {
-      socket.destroy();
-      return;
-    }
-    const [status, text] = parserErrors[error.code ?? ''] ?? [400, 'Bad Request'];
-    socket.end(`HTTP/1.1 ${status} ${text}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
-  }
-
   private applyLimits(): void {
     const { idleTimeout, headerTimeout } = this.settings.traffic.limits;
     this.server.keepAliveTimeout = idleTimeout;
--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -177,6 +177,16 @@
         text: 'PUT /lots/x HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n',
         status: 413,
       },
+      {
+        name: 'a tunnel',
+        text: 'CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\n',
+        status: 405,
+      },
+      {
+        name: 'an unknown transfer encoding with a body',
+        text: 'POST /lots/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\nrest of it\r\n\r\n',
+        status: 400,
+      },
       {
         name: 'an unknown transfer encoding',
         text: 'POST /lots/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n',
@@ -188,6 +198,7 @@
         const before = await countWork(targetPort);
         const answer = await sendRaw(ports.callers, text);
         expect(statusOf(answer)).to.equal(status);
+        expect(answer.match(/HTTP\/1\.1 \d/g), 'answers on the connection').to.have.length(1);
         expect(await countWork(targetPort)).to.equal(before);
       });
     });
