--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -5,6 +5,7 @@
 import { falseEjection } from './scenarios/falseEjection.js';
 import { headOfLine } from './scenarios/headOfLine.js';
 import { hedging } from './scenarios/hedging.js';
+import { hop } from './scenarios/hop.js';
 import { loopback } from './scenarios/loopback.js';
 import { agreement, membership } from './scenarios/membership.js';
 import { operations } from './scenarios/operations.js';
@@ -20,6 +21,7 @@
   hedging,
   operations,
   loopback,
+  hop,
   membership,
   agreement,
   configuration,
