--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,16 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', '**/generated/**', 'model/**'] },
+  {
+    ignores: [
+      'dist/**',
+      'target/**',
+      'journal/**',
+      'node_modules/**',
+      '**/generated/**',
+      'model/**',
+    ],
+  },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
