--- /dev/null
+++ b/src/sidecar/LineSink.test.ts
@@ -0,0 +1,72 @@
+import { expect } from 'chai';
+import { VirtualClock, type LogLine } from '../api/index.js';
+import { LineSink } from './LineSink.js';
+
+const line = (change: Partial<LogLine> = {}): LogLine => ({
+  level: 'info',
+  kind: 'refusal',
+  message: 'refused',
+  fields: { request: 'r-1' },
+  ...change,
+});
+
+/** Sink whose output takes a chunk only when the test says so. */
+function create() {
+  const chunks: string[] = [];
+  const pending: (() => void)[] = [];
+  const clock = new VirtualClock();
+  const sink = new LineSink('info', clock, (chunk, done) => {
+    chunks.push(chunk);
+    pending.push(done);
+  });
+  const lines = (): string[] =>
+    chunks
+      .join('')
+      .split('\n')
+      .filter((one) => one !== '');
+  return { sink, clock, pending, lines };
+}
+
+describe('LineSink', () => {
+  it('writes one JSON object a line with time, level and fields', () => {
+    const { sink, lines } = create();
+    sink.write(line());
+    expect(JSON.parse(lines()[0] ?? '')).to.include({ level: 'info', request: 'r-1' });
+  });
+
+  it('holds a bounded number of lines while the output is stuck, and tells what it dropped', () => {
+    const { sink, pending, lines } = create();
+    for (let index = 0; index < 10_000; index += 1) sink.write(line());
+    expect(lines()).to.have.length(1);
+    pending.shift()?.();
+    expect(lines().length).to.be.below(2_100);
+    expect(lines().at(-1)).to.include('"dropped":');
+  });
+
+  it('bounds the routing lines of one second, and no other kind', () => {
+    const { sink, clock, pending, lines } = create();
+    const flush = (): void => {
+      while (pending.length > 0) pending.shift()?.();
+    };
+    for (let index = 0; index < 1_000; index += 1) {
+      sink.write(line({ kind: 'route', message: 'routed' }));
+      flush();
+    }
+    sink.write(line());
+    flush();
+    const routed = (): number => lines().filter((one) => one.includes('"routed"')).length;
+    expect(routed()).to.equal(400);
+    expect(lines().some((one) => one.includes('"refused"'))).to.equal(true);
+    clock.advance(1_000);
+    sink.write(line({ kind: 'route', message: 'routed' }));
+    flush();
+    expect(routed()).to.equal(401);
+  });
+
+  it('leaves out lines below its level', () => {
+    const { sink, lines } = create();
+    sink.setLevel('warn');
+    sink.write(line());
+    expect(lines()).to.have.length(0);
+  });
+});
