--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -57,8 +57,8 @@
 const pruneInterval = 2_000;
 /** Milliseconds between two refreshes that peers with a newer configuration can cause. */
 const refreshInterval = 400;
-/** Milliseconds for which a stopping daemon still takes callers: two missed readiness checks and a reserve. */
-const notice = 3_200;
+/** Milliseconds for which a stopping daemon still takes callers: two missed readiness checks, a second apart. */
+const notice = 2_700;
 /** Milliseconds that are kept at the end of the grace period. */
 const graceReserve = 400;
 
