Let an order stand once, and drop services that nobody reads

HomeOrder repeated OrderHead field by field; it now extends it. The services of the traffic configuration were decoded and not used.

--- a/src/common/routing/TrafficTypes.ts
+++ b/src/common/routing/TrafficTypes.ts
@@ -39,18 +39,10 @@
   readonly idleTimeout: number;
 }
 
-/** Service that takes part in the traffic. */
-export interface TrafficService {
-  readonly name: ServiceName;
-  /** Connections that one of its targets accepts. */
-  readonly maxConnections: number;
-}
-
 /** One version of the operators' traffic configuration. */
 export interface TrafficConfiguration {
   readonly version: number;
   readonly routes: readonly TrafficRoute[];
-  readonly services: readonly TrafficService[];
   readonly limits: CallerLimits;
 }
 
--- a/src/sidecar/Types.ts
+++ b/src/sidecar/Types.ts
@@ -17,18 +17,16 @@
   readonly notRun: string;
 }
 
-/** Request as the home of a target got it from another daemon. */
-export interface HomeOrder {
+/** What an entry asks of a home; it travels in one header. */
+export interface OrderHead {
   readonly id: string;
   readonly target: string;
   readonly incarnation: string;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: readonly HeaderPair[];
   /** Milliseconds until the answer is of no use. */
   readonly timeout: number;
   /** Milliseconds for which it may wait for a slot. */
   readonly patience: number;
+  /** Run it even if the target is suspected. */
   readonly isForced: boolean;
   /** It was sent to another target before. */
   readonly isRepeat: boolean;
@@ -43,5 +41,12 @@
   readonly version: number;
 }
 
+/** Request as the home of a target got it from another daemon. */
+export interface HomeOrder extends OrderHead {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly HeaderPair[];
+}
+
 /** Gives the body of a request when the home asks for it, which is when it has a slot. */
 export type BodyProvider = () => Promise<Buffer>;
--- a/src/sidecar/peerHeaders.ts
+++ b/src/sidecar/peerHeaders.ts
@@ -1,6 +1,7 @@
 /** Headers between daemons. */
 import { brandAs, type RefusalReason, type TargetId } from '../api/index.js';
 import type { Candidate, ForwardOrder, TargetCondition } from '../common/dispatch/Types.js';
+import type { OrderHead } from './Types.js';
 
 /** Order of the entry, as JSON. */
 export const orderHeader = 'limpettrack-order';
@@ -34,23 +35,6 @@
   readonly v: number;
 }
 
-/** Parts of an order that travel in one header. */
-export interface OrderHead {
-  readonly id: string;
-  readonly target: string;
-  readonly incarnation: string;
-  readonly timeout: number;
-  readonly patience: number;
-  readonly isForced: boolean;
-  readonly isRepeat: boolean;
-  readonly isRepeatable: boolean;
-  readonly rank: number;
-  readonly route: string;
-  readonly goal: number;
-  readonly entry: string;
-  readonly version: number;
-}
-
 /** Head of an order for a candidate. */
 export function createOrderHead(
   candidate: Candidate,
