Let homes correct outdated records of themselves with their answers

Ruled out: lost events of the poll (the records had not been written: the homes logged that they could not register). Change: records count their states; an order names the state that the entry knows, and a home that knows a newer one of itself adds its record to the answer or refusal. The store's late copy does not replace it.

--- a/src/bench/scenarios/hop.ts
+++ b/src/bench/scenarios/hop.ts
@@ -11,6 +11,8 @@
   type TargetId,
 } from '../../api/index.js';
 import type { Candidate, ForwardOrder } from '../../common/dispatch/Types.js';
+import { recordTag } from '../../common/fleet/daemonRecords.js';
+import type { DaemonRecord } from '../../common/fleet/Types.js';
 import { PeerConnections } from '../../daemon/PeerConnections.js';
 import { PeerServer } from '../../daemon/PeerServer.js';
 import { RemoteHome } from '../../daemon/RemoteHome.js';
@@ -105,15 +107,36 @@
       return { status: 200, headers: answerHeaders, body: Readable.from([answerBody]) };
     },
   };
-  const server = new HomeServer({ home, version: () => 1, onVersion: () => {}, log });
-  const port = await server.listen('127.0.0.1:0');
   const daemon = brandAs<DaemonId>('d');
-  const link = new PeerLink({ id: daemon, region: 'gam', clock, onVersion: () => {} });
-  const candidate: Candidate = {
+  const record: DaemonRecord = {
     daemon,
-    address: `127.0.0.1:${port}`,
+    incarnation,
+    serial: 1,
+    address: '127.0.0.1:0',
     region: brandAs<Region>('gam'),
     dataCentre: brandAs<DataCentre>('gam-a'),
+    state: 'serving',
+    targets: [],
+  };
+  const server = new HomeServer({
+    home,
+    version: () => 1,
+    record: () => record,
+    onVersion: () => {},
+    log,
+  });
+  const port = await server.listen(record.address);
+  const link = new PeerLink({
+    id: daemon,
+    region: record.region,
+    clock,
+    onVersion: () => {},
+    onRecord: () => {},
+  });
+  const candidate: Candidate = {
+    ...record,
+    recordTag: recordTag(record),
+    address: `127.0.0.1:${port}`,
     target,
     incarnation,
     slots: 5,
--- a/src/common/dispatch/Dispatcher.test.ts
+++ b/src/common/dispatch/Dispatcher.test.ts
@@ -72,6 +72,7 @@
   const candidates = (): Candidate[] =>
     Object.keys(behaviours).map((name) => ({
       daemon: brandAs<DaemonId>(name),
+      recordTag: '1/1',
       address: name,
       region,
       dataCentre,
--- a/src/common/dispatch/Types.ts
+++ b/src/common/dispatch/Types.ts
@@ -103,6 +103,8 @@
 /** A target that could run a request, with what this daemon knows of it. */
 export interface Candidate {
   readonly daemon: DaemonId;
+  /** State of the home's record from which this daemon knows the target. */
+  readonly recordTag: string;
   /** `host:port` of the home. */
   readonly address: string;
   readonly region: Region;
--- a/src/common/fleet/FleetDirectory.ts
+++ b/src/common/fleet/FleetDirectory.ts
@@ -1,5 +1,6 @@
 import type { Clock, DaemonId, LogSink, ServiceName, TargetId } from '../base/index.js';
 import type { Candidate, TargetCondition } from '../dispatch/Types.js';
+import { recordTag } from './daemonRecords.js';
 import type { DaemonRecord, PublishedTarget } from './Types.js';
 
 /** Milliseconds after which a daemon that is missing in the store and not in use counts as gone. */
@@ -59,6 +60,7 @@
   public put(record: DaemonRecord): void {
     const known = this.peers.get(record.daemon);
     const isRestarted = known?.record.incarnation !== record.incarnation;
+    if (!isRestarted && record.serial < (known?.record.serial ?? 0)) return;
     if (known === undefined || isRestarted) {
       this.write('a daemon has joined', record);
       this.peers.set(record.daemon, {
@@ -95,6 +97,15 @@
     });
   }
 
+  /** Takes a record that the daemon itself has told, which the store may not list yet or any more. */
+  public putTold(record: DaemonRecord): void {
+    const unlistedAt = this.peers.get(record.daemon)?.unlistedAt;
+    this.put(record);
+    const peer = this.peers.get(record.daemon);
+    if (peer !== undefined) peer.unlistedAt = unlistedAt;
+    this.write('a daemon has told its newer record', record);
+  }
+
   /** The daemon has answered. */
   public noteReached(daemon: DaemonId): void {
     const peer = this.peers.get(daemon);
@@ -163,6 +174,7 @@
     const note = this.noteOf(target.id);
     return {
       daemon: record.daemon,
+      recordTag: recordTag(record),
       address: record.address,
       region: record.region,
       dataCentre: record.dataCentre,
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -24,6 +24,8 @@
 export interface DaemonRecord {
   readonly daemon: DaemonId;
   readonly incarnation: Incarnation;
+  /** Counts the records of one incarnation, so that a late one does not replace a newer one. */
+  readonly serial: number;
   /** `host:port` for requests of other daemons. */
   readonly address: string;
   readonly region: Region;
--- a/src/common/fleet/daemonRecords.ts
+++ b/src/common/fleet/daemonRecords.ts
@@ -1,6 +1,10 @@
-import type { StoreEntry } from '../services/Types.js';
 import type { DaemonRecord, PublishedTarget } from './Types.js';
 
+/** Names one state of a record; two daemons compare it to find out whose knowledge is older. */
+export function recordTag({ incarnation, serial }: DaemonRecord): string {
+  return `${incarnation}/${serial}`;
+}
+
 /** Writes a record as the value of its key. */
 export function encodeRecord(record: DaemonRecord): string {
   return JSON.stringify(record);
@@ -17,19 +21,20 @@
   );
 }
 
-/** Reads a record; undefined if the value is not one. */
-export function decodeRecord(entry: StoreEntry): DaemonRecord | undefined {
+/** Reads a record; undefined if the text is not one. */
+export function decodeRecord(text: string): DaemonRecord | undefined {
   try {
-    const value = JSON.parse(new TextDecoder().decode(entry.value)) as Partial<DaemonRecord> | null;
+    const value = JSON.parse(text) as Partial<DaemonRecord> | null;
     const names = [value?.daemon, value?.incarnation, value?.address, value?.region];
     const isWhole =
       names.every((name) => typeof name === 'string') &&
       typeof value?.dataCentre === 'string' &&
+      Number.isInteger(value.serial) &&
       Array.isArray(value.targets) &&
       value.targets.every(isTarget);
     return isWhole ? (value as DaemonRecord) : undefined;
   } catch {
-    // The caller logs entries that are not records.
+    // The caller logs what is not a record.
     return undefined;
   }
 }
--- a/src/sidecar/Home.test.ts
+++ b/src/sidecar/Home.test.ts
@@ -64,6 +64,7 @@
     goal: 1_000,
     entry: 'd-2',
     version: 1,
+    recordTag: '1/1',
     ...change,
   };
 }
--- a/src/sidecar/HomeServer.ts
+++ b/src/sidecar/HomeServer.ts
@@ -5,6 +5,8 @@
 import { HomeRefusalError } from '../common/dispatch/Types.js';
 import { findHeader, pairHeaders } from '../daemon/Headers.js';
 import { listen } from '../node/listen.js';
+import { encodeRecord, recordTag } from '../common/fleet/daemonRecords.js';
+import type { DaemonRecord } from '../common/fleet/Types.js';
 import type { Home } from './Home.js';
 import {
   conditionHeader,
@@ -12,6 +14,7 @@
   failureHeader,
   orderHeader,
   reachedHeader,
+  recordHeader,
   refusalHeader,
   retryAfterHeader,
   versionHeader,
@@ -40,6 +43,8 @@
   readonly home: Pick<Home, 'run'>;
   /** Configuration version in force here. */
   readonly version: () => number;
+  /** Own record as it stands now. */
+  readonly record: () => DaemonRecord;
   /** Told the version by which an entry routed. */
   readonly onVersion: (version: number) => void;
   readonly log: LogSink;
@@ -109,7 +114,7 @@
     };
     const answer = await this.settings.home.run(order, takeBody, abort.signal);
     const headers = [...answer.headers.flatMap((pair) => [...pair])];
-    headers.push(versionHeader, String(this.settings.version()));
+    headers.push(...Object.entries(this.ownHeaders(order)).flat());
     if (answer.condition !== undefined) {
       headers.push(conditionHeader, JSON.stringify(answer.condition));
     }
@@ -120,6 +125,15 @@
     });
   }
 
+  /** What every answer tells of this daemon. */
+  private ownHeaders(order: HomeOrder): Readonly<Record<string, string>> {
+    const { version, record } = this.settings;
+    const headers: Record<string, string> = { [versionHeader]: String(version()) };
+    const own = record();
+    if (recordTag(own) !== order.recordTag) headers[recordHeader] = encodeRecord(own);
+    return headers;
+  }
+
   private fail(
     order: HomeOrder,
     request: IncomingMessage,
@@ -133,7 +147,7 @@
     request.resume();
     const headers: Record<string, string | number> = {
       'content-length': 0,
-      [versionHeader]: this.settings.version(),
+      ...this.ownHeaders(order),
     };
     if (error instanceof HomeRefusalError) {
       const { condition, retryAfter, hasReachedTarget } = error.details;
--- a/src/sidecar/PeerLink.ts
+++ b/src/sidecar/PeerLink.ts
@@ -12,6 +12,8 @@
   type ForwardOrder,
   type TargetAnswer,
 } from '../common/dispatch/Types.js';
+import { decodeRecord } from '../common/fleet/daemonRecords.js';
+import type { DaemonRecord } from '../common/fleet/Types.js';
 import { dropHopByHop, findHeader, pairHeaders } from '../daemon/Headers.js';
 import { holdBody } from './holdBody.js';
 import {
@@ -25,6 +27,7 @@
   reachedHeader,
   refusalHeader,
   retryAfterHeader,
+  recordHeader,
   versionHeader,
 } from './peerHeaders.js';
 
@@ -45,6 +48,7 @@
   retryAfterHeader,
   reachedHeader,
   versionHeader,
+  recordHeader,
   failureHeader,
 ]);
 
@@ -55,6 +59,8 @@
   readonly clock: Clock;
   /** Told the configuration version in force at an answering daemon. */
   readonly onVersion: (version: number) => void;
+  /** Told the record of an answering daemon of which this one knew an older record. */
+  readonly onRecord: (record: DaemonRecord) => void;
 }
 
 /** One order on its way. */
@@ -188,6 +194,8 @@
     const pairs = pairHeaders(response.rawHeaders);
     const version = Number(findHeader(pairs, versionHeader));
     if (version > 0) this.settings.onVersion(version);
+    const record = decodeRecord(findHeader(pairs, recordHeader) ?? '');
+    if (record !== undefined) this.settings.onRecord(record);
     const condition = decodeCondition(findHeader(pairs, conditionHeader));
     const refusal = findHeader(pairs, refusalHeader);
     const status = response.statusCode ?? unknownStatus;
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -108,6 +108,8 @@
 
   private readonly incarnation: Incarnation;
 
+  private record: DaemonRecord;
+
   private isStopping = false;
 
   private isFleetKnown = false;
@@ -134,6 +136,7 @@
         checkStart: (request) => this.crashGuard.checkAt(request),
       }),
     );
+    this.record = this.createRecord(0);
     this.registration = this.disposables.add(
       new Registration({
         store,
@@ -160,10 +163,22 @@
     );
     const onVersion = (version: number): void => this.noteVersion(version);
     this.peers = this.disposables.add(
-      new PeerLink({ id: settings.id, region: settings.region, clock, onVersion }),
+      new PeerLink({
+        id: settings.id,
+        region: settings.region,
+        clock,
+        onVersion,
+        onRecord: (record) => this.directory.putTold(record),
+      }),
     );
     this.homeServer = this.disposables.add(
-      new HomeServer({ home: this.home, version: () => this.traffic.version, onVersion, log }),
+      new HomeServer({
+        home: this.home,
+        version: () => this.traffic.version,
+        record: () => this.record,
+        onVersion,
+        log,
+      }),
     );
     this.metrics = new SidecarMetrics(() => this.gauges());
     this.callerServer = this.disposables.add(this.createCallerServer());
@@ -328,7 +343,7 @@
   }
 
   private readRecord(entry: StoreEntry): DaemonRecord | undefined {
-    const record = decodeRecord(entry);
+    const record = decodeRecord(new TextDecoder().decode(entry.value));
     if (record === undefined) {
       this.environment.log.write({
         level: 'warn',
@@ -341,19 +356,24 @@
   }
 
   private publish(): void {
+    this.record = this.createRecord(this.record.serial + 1);
+    // The own target is known here without the store.
+    this.directory.put(this.record);
+    this.registration.publish(encodeRecord(this.record));
+  }
+
+  private createRecord(serial: number): DaemonRecord {
     const { id, peer, region, dataCentre } = this.settings;
-    const record: DaemonRecord = {
+    return {
       daemon: id,
       incarnation: this.incarnation,
+      serial,
       address: peer,
       region,
       dataCentre,
       state: this.isStopping ? 'leaving' : 'serving',
       targets: this.home.published,
     };
-    // The own target is known here without the store.
-    this.directory.put(record);
-    this.registration.publish(encodeRecord(record));
   }
 
   private pruneLater(): void {
--- a/src/sidecar/Types.ts
+++ b/src/sidecar/Types.ts
@@ -39,6 +39,8 @@
   readonly entry: string;
   /** Configuration version by which the entry routed. */
   readonly version: number;
+  /** State of the home's record that the entry knows. */
+  readonly recordTag: string;
 }
 
 /** Request as the home of a target got it from another daemon. */
--- a/src/sidecar/peerHeaders.ts
+++ b/src/sidecar/peerHeaders.ts
@@ -18,6 +18,9 @@
 /** Configuration version in force at the answering daemon. */
 export const versionHeader = 'limpettrack-version';
 
+/** Record of the answering daemon, if the entry knew an older one. */
+export const recordHeader = 'limpettrack-record';
+
 /** Order as it travels; short keys, since it is sent with each request. */
 interface WireOrder {
   readonly id: string;
@@ -33,6 +36,7 @@
   readonly g: number;
   readonly e: string;
   readonly v: number;
+  readonly d: string;
 }
 
 /** Head of an order for a candidate. */
@@ -56,6 +60,7 @@
     goal: route.goal,
     entry,
     version: order.version,
+    recordTag: candidate.recordTag,
   };
 }
 
@@ -75,6 +80,7 @@
     g: head.goal,
     e: head.entry,
     v: head.version,
+    d: head.recordTag,
   };
   return JSON.stringify(wire);
 }
@@ -98,6 +104,7 @@
       goal: wire.g,
       entry: wire.e,
       version: wire.v,
+      recordTag: wire.d,
     };
   } catch {
     // The sender is told by a status; it is no daemon of this version.
