Share target conditions between daemons, and let homes bound what suspected targets get

The log showed why: an entry knew the condition of a target only from its own requests (ages of 1 to 6 s), a second attempt was placed as if a third could follow, and one in five first attempts was sent to a doubtful target by chance, however many others were already waiting there. Ruled out: that the homes do not know (they did, with odds of 7 and more at the time).

--- a/src/bench/scenarios/hop.ts
+++ b/src/bench/scenarios/hop.ts
@@ -122,6 +122,8 @@
     home,
     version: () => 1,
     record: () => record,
+    news: () => [],
+    onNews: () => {},
     onVersion: () => {},
     log,
   });
@@ -131,6 +133,8 @@
     region: record.region,
     clock,
     onVersion: () => {},
+    news: () => [],
+    onNews: () => {},
     onRecord: () => {},
   });
   const candidate: Candidate = {
@@ -171,6 +175,7 @@
     timeout: 4_000,
     patience: 0,
     isForced: false,
+    isScout: false,
     isRepeat: false,
     version: 1,
     onStart: () => {},
--- a/src/common/dispatch/Dispatcher.test.ts
+++ b/src/common/dispatch/Dispatcher.test.ts
@@ -89,6 +89,7 @@
     noteReached: () => {},
     noteUnreachable: () => {},
     suspect: () => {},
+    sickness: () => 0.15,
     count: () => {},
   };
   const world = { clock, starts, orders, cancelled, budget: Infinity };
--- a/src/common/dispatch/Dispatcher.ts
+++ b/src/common/dispatch/Dispatcher.ts
@@ -10,6 +10,7 @@
   type TargetId,
 } from '../base/index.js';
 import { logit } from '../health/SicknessFilter.js';
+import { hedgeDelay } from './hedgeDelay.js';
 import type { Offer, Placement } from './Placement.js';
 import type { RouteMemory } from './RouteMemory.js';
 import {
@@ -31,12 +32,10 @@
 const maxAsks = 2;
 /** Refusals after which the same home may be asked once more, if no other place is better. */
 const softRefusals: ReadonlySet<RefusalReason> = new Set(['suspect', 'queue-full']);
-/** A repeatable request is asked elsewhere when it is slower than nineteen in twenty. */
-const hedgeDeviation = 1.65;
-/** The same for a target in doubt: slower than three in four. */
-const doubtfulHedgeDeviation = 0.7;
-/** Probability of sickness above which a target is in doubt. */
-const doubt = 0.3;
+/** Milliseconds between two looks at what is known of the target that runs a request. */
+const hedgeReview = 150;
+/** Milliseconds until another try of a second attempt that no home had budget or room for. */
+const hedgePause = 250;
 /** Suspicion of a target that let a hedge timer run out. */
 const hedgedOdds = logit(0.6);
 /** Milliseconds that an answer needs to reach the caller. */
@@ -54,6 +53,8 @@
   noteReached(daemon: Candidate['daemon']): void;
   noteUnreachable(daemon: Candidate['daemon']): void;
   suspect(target: TargetId, sickness: number): void;
+  /** Probability that a target is sick, by what is known now. */
+  sickness(target: TargetId): number;
   count(target: TargetId, change: 1 | -1): void;
 }
 
@@ -78,6 +79,8 @@
   readonly abort: AbortController;
   readonly result: Promise<AttemptResult>;
   offer: Offer | undefined;
+  /** Time at which it was sent to that offer. */
+  sentAt: number;
   /** Whether the target may have begun. */
   hasStarted: boolean;
 }
@@ -93,7 +96,8 @@
   readonly closed: Set<TargetId>;
   /** Targets to which it was sent. */
   sent: number;
-  hasHedged: boolean;
+  /** Time before which no second attempt follows a slow one. */
+  hedgeFrom: number;
   mayHaveRun: boolean;
   failure: AttemptResult | undefined;
 }
@@ -122,7 +126,7 @@
       asks: new Map(),
       closed: new Set(),
       sent: 0,
-      hasHedged: false,
+      hedgeFrom: 0,
       mayHaveRun: false,
       failure: undefined,
     };
@@ -137,18 +141,20 @@
   }
 
   private async travel(journey: Journey, signal: AbortSignal): Promise<TargetAnswer> {
+    const { clock } = this.settings;
     this.startAttempt(journey);
     for (;;) {
       const event = await this.nextEvent(journey);
       if (signal.aborted) throw this.cancelled(journey);
       if (event === 'deadline') throw this.late(journey);
-      if (event === 'hedge') {
-        this.hedge(journey);
+      if (event === 'review') {
+        if (this.hedgeWait(journey) <= 0) this.hedge(journey);
       } else {
         journey.running.delete(event.attempt);
         const { result } = event;
         if (isGood(result)) return (result as { answer: TargetAnswer }).answer;
         journey.failure = this.worse(journey.failure, result);
+        journey.hedgeFrom = clock.elapsed() + hedgePause;
         if (this.canRetry(journey, result)) this.startAttempt(journey);
         else if (journey.running.size === 0) return this.conclude(journey);
       }
@@ -158,18 +164,20 @@
   /** Waits for the end of an attempt, the moment for a hedge, or the deadline. */
   private async nextEvent(
     journey: Journey,
-  ): Promise<'hedge' | 'deadline' | { attempt: Attempt; result: AttemptResult }> {
+  ): Promise<'review' | 'deadline' | { attempt: Attempt; result: AttemptResult }> {
     const { clock } = this.settings;
     const timers: Disposable[] = [];
-    const timeout = (delay: number, event: 'hedge' | 'deadline') =>
+    const timeout = (delay: number, event: 'review' | 'deadline') =>
       new Promise<typeof event>((resolve) => {
         timers.push(clock.after(delay, () => resolve(event)));
       });
-    const waits: Promise<'hedge' | 'deadline' | { attempt: Attempt; result: AttemptResult }>[] = [
+    const waits: Promise<'review' | 'deadline' | { attempt: Attempt; result: AttemptResult }>[] = [
       ...[...journey.running].map(async (attempt) => ({ attempt, result: await attempt.result })),
       timeout(Math.max(0, journey.due - clock.elapsed() - answerMargin), 'deadline'),
     ];
-    if (this.canHedge(journey)) waits.push(timeout(this.hedgeDelay(journey), 'hedge'));
+    if (this.canHedge(journey)) {
+      waits.push(timeout(Math.max(0, Math.min(this.hedgeWait(journey), hedgeReview)), 'review'));
+    }
     try {
       return await Promise.race(waits);
     } finally {
@@ -177,23 +185,24 @@
     }
   }
 
-  private canHedge({ call, running, sent, hasHedged }: Journey): boolean {
-    const isOpen = call.route.isRepeatable && sent < call.route.maxAttempts;
-    return isOpen && running.size === 1 && !hasHedged;
+  private canHedge({ call, running, sent }: Journey): boolean {
+    return call.route.isRepeatable && sent < call.route.maxAttempts && running.size === 1;
   }
 
-  private hedgeDelay({ call, running }: Journey): number {
-    const { times } = this.settings.memory.of(call.route);
+  /** Milliseconds until a second target is asked, by what is known of the first one now. */
+  private hedgeWait({ call, running, hedgeFrom }: Journey): number {
+    const { directory, memory, clock } = this.settings;
     const [attempt] = running;
-    const isDoubtful = (attempt?.offer?.sickness ?? 0) > doubt;
-    return times.at(isDoubtful ? doubtfulHedgeDeviation : hedgeDeviation);
+    if (attempt?.offer === undefined) return hedgeReview;
+    const { candidate, wait } = attempt.offer;
+    const delay = hedgeDelay(memory.of(call.route).times, directory.sickness(candidate.target));
+    return Math.max(hedgeFrom, attempt.sentAt + wait + delay) - clock.elapsed();
   }
 
   private hedge(journey: Journey): void {
     const [attempt] = journey.running;
     const offer = attempt?.offer;
     if (offer !== undefined) this.settings.directory.suspect(offer.candidate.target, hedgedOdds);
-    journey.hasHedged = true;
     this.startAttempt(journey);
   }
 
@@ -241,6 +250,7 @@
     const attempt: { -readonly [Key in keyof Attempt]?: Attempt[Key] } = {
       abort: new AbortController(),
       hasStarted: false,
+      sentAt: this.settings.clock.elapsed(),
     };
     journey.running.add(attempt as Attempt);
     attempt.result = this.attempt(journey, attempt as Attempt);
@@ -275,7 +285,13 @@
     const { call } = journey;
     const { times, kilobytes } = memory.of(call.route);
     const all = directory.candidates(call.service);
-    const facts = { call, kilobytes, hedgeDelay: times.at(hedgeDeviation) };
+    const { isRepeatable, maxAttempts } = call.route;
+    const facts = {
+      call,
+      kilobytes,
+      hedgeDelay: hedgeDelay(times, 0),
+      isLast: !isRepeatable || journey.sent + 1 >= maxAttempts,
+    };
     const open = all.filter(({ target }) => !journey.closed.has(target));
     const [best] = placement.rank(open, facts);
     if (best === undefined) return this.noTarget(journey);
@@ -297,6 +313,7 @@
     const { candidate } = choice.offer;
     const { call } = journey;
     const started = clock.elapsed();
+    attempt.sentAt = started;
     journey.asks.set(candidate.target, (journey.asks.get(candidate.target) ?? 0) + 1);
     journey.closed.add(candidate.target);
     journey.sent += 1;
@@ -309,6 +326,7 @@
         timeout: journey.due - started - answerMargin,
         patience: choice.patience,
         isForced: choice.isForced,
+        isScout: choice.offer.isScout,
         isRepeat: journey.sent > 1,
         version: version(),
         onStart: () => {
@@ -418,6 +436,7 @@
         age: candidate.condition === undefined ? undefined : Math.round(candidate.age),
         patience: Math.round(patience),
         forced: isForced || undefined,
+        scout: offer.isScout || undefined,
         version: this.settings.version(),
         took: Math.round(this.settings.clock.elapsed() - started),
       },
--- a/src/common/dispatch/Placement.ts
+++ b/src/common/dispatch/Placement.ts
@@ -17,12 +17,12 @@
 const leastServing = 0.2;
 /** Part of the mean work that a full target costs, even with a free slot: targets slow down when nearly full. */
 const crowdingCost = 0.5;
-/** A lost request that cannot be repeated costs this many times the latency that the operators ask for. */
+/** A lost request that is not asked for elsewhere costs this many times the latency that the operators ask for. */
 const lossCost = 3;
 /** Share of repeatable requests that ask a doubtful target, to learn of its recovery. */
 const scoutShare = 0.2;
-/** Targets above this probability of sickness are worth a scout, below the other one too little is unknown. */
-const scoutRange = { lowest: 0.1, highest: 0.85 } as const;
+/** Targets above this probability of sickness are worth a scout; their homes bound how many they get. */
+const scoutSickness = 0.3;
 
 /** A candidate with what a request is expected to pay there. */
 export interface Offer {
@@ -34,6 +34,8 @@
   /** Probability that the target is sick. */
   readonly sickness: number;
   readonly isRemote: boolean;
+  /** Whether the request is to show if the target has recovered. */
+  readonly isScout: boolean;
 }
 
 /** Expected wait for a slot in milliseconds, from the last report of the home and own requests since. */
@@ -59,8 +61,10 @@
   readonly call: IncomingCall;
   /** Kilobytes that the answer is expected to have. */
   readonly kilobytes: number;
-  /** Milliseconds after which a repeatable request is asked elsewhere. */
+  /** Milliseconds after which a request is asked elsewhere if its target hangs. */
   readonly hedgeDelay: number;
+  /** Whether no other target is asked after this one. */
+  readonly isLast: boolean;
 }
 
 /**
@@ -77,10 +81,11 @@
   public rank(candidates: readonly Candidate[], facts: PlacementFacts): Offer[] {
     const offers = candidates.map((candidate) => this.weigh(candidate, facts));
     offers.sort((left, right) => left.cost - right.cost);
-    return facts.call.route.isRepeatable ? this.scout(offers) : offers;
+    return facts.isLast ? offers : this.scout(offers);
   }
 
-  private weigh(candidate: Candidate, { call, kilobytes, hedgeDelay }: PlacementFacts): Offer {
+  private weigh(candidate: Candidate, facts: PlacementFacts): Offer {
+    const { call, kilobytes, hedgeDelay, isLast } = facts;
     const wait = expectedWait(candidate);
     const sickness = probabilityOf(
       candidate.condition === undefined
@@ -88,7 +93,7 @@
         : fadeOdds(candidate.condition.sickness, candidate.age),
     );
     const work = candidate.condition?.work ?? 0;
-    const loss = call.route.isRepeatable ? hedgeDelay : lossCost * call.route.goal;
+    const loss = isLast ? lossCost * call.route.goal : hedgeDelay;
     const isRemote = candidate.region !== this.here.region;
     const cost =
       wait +
@@ -96,7 +101,7 @@
       sickness * loss +
       this.distance(candidate, kilobytes) +
       this.random() * tieRange;
-    return { candidate, cost, wait, sickness, isRemote };
+    return { candidate, cost, wait, sickness, isRemote, isScout: false };
   }
 
   private distance({ region, dataCentre }: Candidate, kilobytes: number): number {
@@ -108,11 +113,10 @@
   private scout(offers: Offer[]): Offer[] {
     if (this.random() >= scoutShare) return offers;
     const doubtful = offers.filter(
-      ({ sickness, isRemote, wait }) =>
-        !isRemote && wait === 0 && sickness > scoutRange.lowest && sickness < scoutRange.highest,
+      ({ sickness, isRemote, wait }) => !isRemote && wait === 0 && sickness > scoutSickness,
     );
     const [chosen] = doubtful.sort((left, right) => right.candidate.age - left.candidate.age);
     if (chosen === undefined) return offers;
-    return [chosen, ...offers.filter((offer) => offer !== chosen)];
+    return [{ ...chosen, isScout: true }, ...offers.filter((offer) => offer !== chosen)];
   }
 }
--- a/src/common/dispatch/Types.ts
+++ b/src/common/dispatch/Types.ts
@@ -47,6 +47,14 @@
   readonly sickness: number;
 }
 
+/** Condition of a target as one daemon passes it on to another. */
+export interface ConditionNews {
+  readonly target: TargetId;
+  readonly condition: TargetCondition;
+  /** Milliseconds since the home of the target reported it. */
+  readonly age: number;
+}
+
 /** What the home of a target is asked to do. */
 export interface ForwardOrder {
   readonly call: IncomingCall;
@@ -58,6 +66,8 @@
   readonly patience: number;
   /** Run it even if the target is suspected: no better one is left. */
   readonly isForced: boolean;
+  /** A suspected target may take it to show whether it has recovered; another target can still answer. */
+  readonly isScout: boolean;
   /** The request was sent to another target before, so it draws on the retry budget. */
   readonly isRepeat: boolean;
   /** Version of the configuration by which the request was routed. */
--- /dev/null
+++ b/src/common/dispatch/hedgeDelay.ts
@@ -0,0 +1,17 @@
+import { RouteTimes } from '../health/RouteTimes.js';
+import { lossShare } from '../health/SicknessFilter.js';
+
+/** A request is not taken for slow before this many standard deviations, however sick its target seems. */
+const leastDeviation = 0.25;
+/** A healthy target is given up when the request is slower than nineteen in twenty. */
+const greatestDeviation = 1.65;
+
+/**
+ * Milliseconds after which a request is more likely lost than slow, for a target that is sick with a given probability.
+ * Earlier copies would mostly repeat work that is about to end; later ones miss the latency that is asked for.
+ */
+export function hedgeDelay(times: RouteTimes, sickness: number): number {
+  const lost = Math.min(sickness * lossShare, lossShare);
+  const share = lost / (1 - lost);
+  return times.at(RouteTimes.deviationOf(share, leastDeviation, greatestDeviation));
+}
--- a/src/common/fleet/FleetDirectory.ts
+++ b/src/common/fleet/FleetDirectory.ts
@@ -1,5 +1,6 @@
 import type { Clock, DaemonId, LogSink, ServiceName, TargetId } from '../base/index.js';
-import type { Candidate, TargetCondition } from '../dispatch/Types.js';
+import type { Candidate, ConditionNews, TargetCondition } from '../dispatch/Types.js';
+import { fadeOdds, probabilityOf, unknownOdds } from '../health/SicknessFilter.js';
 import { recordTag } from './daemonRecords.js';
 import type { DaemonRecord, PublishedTarget } from './Types.js';
 
@@ -8,6 +9,10 @@
 /** Milliseconds for which a daemon that could not be reached is not tried again. */
 const firstRest = 500;
 const longestRest = 4_000;
+/** Milliseconds after which a condition is not passed on: loads have changed by then. */
+const newsLifetime = 2_000;
+/** Conditions in one message; a few hundred bytes, and a fleet of today's size is covered by some messages. */
+const newsLength = 8;
 
 /** Another daemon as this one knows it. */
 interface Peer {
@@ -126,11 +131,36 @@
     peer.restUntil = this.clock.elapsed() + rest;
   }
 
-  /** Learns the condition of a target from its home. */
-  public noteCondition(target: TargetId, condition: TargetCondition): void {
+  /** Learns the condition that the home of a target reported `age` milliseconds ago. */
+  public noteCondition(target: TargetId, condition: TargetCondition, age = 0): void {
     const note = this.noteOf(target);
+    const learnedAt = this.clock.elapsed() - age;
+    if (note.condition !== undefined && note.learnedAt > learnedAt) return;
     note.condition = condition;
-    note.learnedAt = this.clock.elapsed();
+    note.learnedAt = learnedAt;
+  }
+
+  /** Conditions that were reported last, newest first, for other daemons. */
+  public get news(): ConditionNews[] {
+    const now = this.clock.elapsed();
+    const rows: ConditionNews[] = [];
+    this.notes.forEach(({ condition, learnedAt }, target) => {
+      const age = now - learnedAt;
+      if (condition !== undefined && age <= newsLifetime) rows.push({ target, condition, age });
+    });
+    return rows.sort((left, right) => left.age - right.age).slice(0, newsLength);
+  }
+
+  /** Learns conditions from another daemon. */
+  public takeNews(news: readonly ConditionNews[]): void {
+    news.forEach(({ target, condition, age }) => this.noteCondition(target, condition, age));
+  }
+
+  /** Probability that a target is sick, by what is known now. */
+  public sickness(target: TargetId): number {
+    const note = this.notes.get(target);
+    if (note?.condition === undefined) return probabilityOf(unknownOdds);
+    return probabilityOf(fadeOdds(note.condition.sickness, this.clock.elapsed() - note.learnedAt));
   }
 
   /** Raises the suspicion of a target by what this daemon has seen itself. */
--- a/src/common/health/RouteTimes.ts
+++ b/src/common/health/RouteTimes.ts
@@ -11,6 +11,9 @@
 /** Share of requests that run many times longer than the others. */
 const stragglerShare = 0.03;
 
+/** Halvings of a range of deviations; leaves an error of a thousandth. */
+const bisections = 11;
+
 /** Upper tail of the standard normal distribution (Abramowitz and Stegun 26.2.17). */
 function upperTail(z: number): number {
   const t = 1 / (1 + 0.2316419 * Math.abs(z));
@@ -55,6 +58,18 @@
     return stragglerShare + (1 - stragglerShare) * upperTail(z);
   }
 
+  /** Least `z` of `lowest` to `highest` at which at most this share of healthy requests is still running. */
+  public static deviationOf(share: number, lowest: number, highest: number): number {
+    let low = lowest;
+    let high = highest;
+    for (let step = 0; step < bisections; step += 1) {
+      const middle = (low + high) / 2;
+      if (upperTail(middle) > share) low = middle;
+      else high = middle;
+    }
+    return high;
+  }
+
   /** Adds the latency of a whole answer in milliseconds. */
   public record(latency: number): void {
     this.count += 1;
--- a/src/common/health/SicknessFilter.ts
+++ b/src/common/health/SicknessFilter.ts
@@ -2,7 +2,7 @@
 import type { RouteTimes } from './RouteTimes.js';
 
 /** Share of requests that a sick target loses; gray failures lose most, but not all. */
-const lossShare = 0.75;
+export const lossShare = 0.75;
 /** Probability of sickness of a target of which nothing is known. */
 const priorProbability = 0.15;
 /** Milliseconds after which old evidence counts e times less: sick spells last some seconds. */
--- a/src/sidecar/Home.test.ts
+++ b/src/sidecar/Home.test.ts
@@ -57,6 +57,7 @@
     timeout: 2_000,
     patience: 0,
     isForced: false,
+    isScout: false,
     isRepeat: false,
     isRepeatable: false,
     rank: 1,
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -17,14 +17,17 @@
 import type { PublishedTarget, TargetReport } from '../common/fleet/Types.js';
 import { logit, SicknessFilter, type RunningRequest } from '../common/health/SicknessFilter.js';
 import { ArrivalBudget, type FleetAllowance } from '../common/retry/ArrivalBudget.js';
+import { ScoutGate } from '../common/health/ScoutGate.js';
 import type { GuardedOutcome, GuardedRequest } from '../daemon/CrashGuard.js';
 import { createFingerprint } from '../daemon/fingerprint.js';
 import { TargetFailure } from '../daemon/TargetFailure.js';
 import { TargetLink, type StreamedAnswer } from './TargetLink.js';
 import type { BodyProvider, HeaderVocabulary, HomeOrder } from './Types.js';
 
-/** A request that cannot be repeated is not sent to a target that is more likely sick than this. */
+/** Only scouts and requests that found no better place are sent to a target that is more likely sick than this. */
 const suspectOdds = logit(0.5);
+/** Above this a request is rather refused, so that its caller can come back when a target has recovered. */
+const hopelessOdds = logit(0.85);
 /** Milliseconds between two looks at the requests that wait for a target. */
 const reviewInterval = 150;
 /** Milliseconds for which a target that refused a connection is left alone. */
@@ -44,6 +47,7 @@
   readonly link: TargetLink;
   readonly queue: SlotQueue;
   readonly filter: SicknessFilter;
+  readonly scouts: ScoutGate;
   downUntil: number;
 }
 
@@ -110,6 +114,11 @@
     return this.inFlight;
   }
 
+  /** Present conditions of the targets. */
+  public get conditions(): readonly (readonly [TargetId, TargetCondition])[] {
+    return [...this.hosted].map(([id, hosted]) => [id, this.conditionOf(hosted, 0)]);
+  }
+
   /** Targets as the fleet should see them. */
   public get published(): readonly PublishedTarget[] {
     return this.register.present.map((report) => ({
@@ -228,6 +237,7 @@
       link,
       queue,
       filter: new SicknessFilter(clock),
+      scouts: new ScoutGate(clock),
       downUntil: 0,
       dispose: () => {
         queue.dispose();
@@ -246,8 +256,8 @@
     if (order.isRepeat && !this.budget.hasRoom) throw this.refuse(hosted, 'limit', order);
     this.checkHealth(hosted, order);
     this.scheduleReview();
-    const { rank, goal, patience, isRepeatable, isForced } = order;
-    const demand = { rank, goal, patience, isMovable: !isRepeatable && !isForced };
+    const { rank, goal, patience, isForced } = order;
+    const demand = { rank, goal, patience, isMovable: !isForced };
     const result = await hosted.queue.submit(demand, signal);
     if (isLeft(result)) {
       const { reason, retryAfter } = result.left;
@@ -282,7 +292,10 @@
   }
 
   private checkHealth(hosted: Hosted, order: HomeOrder): void {
-    if (order.isRepeatable || order.isForced || hosted.filter.now < suspectOdds) return;
+    const odds = hosted.filter.now;
+    if (odds < suspectOdds) return;
+    if (order.isForced && odds < hopelessOdds) return;
+    if (order.isScout && hosted.scouts.take()) return;
     throw this.refuse(hosted, 'suspect', order);
   }
 
@@ -360,6 +373,7 @@
       request: guarded,
       outcome: { kind: kind === 'truncated' ? 'reset' : kind },
     });
+    if (kind === 'success') hosted.scouts.reopen();
     if (kind === 'success') filter.succeed(running);
     else if (kind === 'cancelled' || kind === 'timeout') filter.cancel(running);
     else if (kind === 'shed') filter.refuse(running);
--- a/src/sidecar/HomeServer.ts
+++ b/src/sidecar/HomeServer.ts
@@ -2,7 +2,7 @@
 import { buffer } from 'node:stream/consumers';
 import { pipeline } from 'node:stream';
 import type { Disposable, LogSink } from '../api/index.js';
-import { HomeRefusalError } from '../common/dispatch/Types.js';
+import { HomeRefusalError, type ConditionNews } from '../common/dispatch/Types.js';
 import { findHeader, pairHeaders } from '../daemon/Headers.js';
 import { listen } from '../node/listen.js';
 import { encodeRecord, recordTag } from '../common/fleet/daemonRecords.js';
@@ -11,7 +11,10 @@
 import {
   conditionHeader,
   decodeOrder,
+  decodeNews,
+  encodeNews,
   failureHeader,
+  newsHeader,
   orderHeader,
   reachedHeader,
   recordHeader,
@@ -32,12 +35,24 @@
 /** Headers between two daemons only. */
 const internalHeaders: ReadonlySet<string> = new Set([
   orderHeader,
+  newsHeader,
   'expect',
   'connection',
   'transfer-encoding',
   'keep-alive',
 ]);
 
+/** One order with its answer. */
+interface Exchange {
+  readonly order: HomeOrder;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** The entry waits for `100 Continue`. */
+  readonly isReserved: boolean;
+  /** The entry is in this region. */
+  readonly isNear: boolean;
+}
+
 /** What the server depends on. */
 export interface HomeServerSettings {
   readonly home: Pick<Home, 'run'>;
@@ -45,6 +60,10 @@
   readonly version: () => number;
   /** Own record as it stands now. */
   readonly record: () => DaemonRecord;
+  /** Conditions of targets for daemons of this region. */
+  readonly news: () => readonly ConditionNews[];
+  /** Told the conditions that an entry knows. */
+  readonly onNews: (news: readonly ConditionNews[]) => void;
   /** Told the version by which an entry routed. */
   readonly onVersion: (version: number) => void;
   readonly log: LogSink;
@@ -89,23 +108,21 @@
     // The entry learns at once that this daemon lives, even if the answer takes seconds.
     response.writeProcessing();
     this.settings.onVersion(head.version);
+    const news = findHeader(pairs, newsHeader);
+    this.settings.onNews(decodeNews(news));
     const order: HomeOrder = {
       ...head,
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       headers: pairs.filter(([name]) => !internalHeaders.has(name.toLowerCase())),
     };
-    this.serve(order, request, response, isReserved).catch((error: unknown) => {
-      this.fail(order, request, response, error);
-    });
+    // An entry of this region tells news and gets some.
+    const exchange = { order, request, response, isReserved, isNear: news !== undefined };
+    this.serve(exchange).catch((error: unknown) => this.fail(exchange, error));
   }
 
-  private async serve(
-    order: HomeOrder,
-    request: IncomingMessage,
-    response: ServerResponse,
-    isReserved: boolean,
-  ): Promise<void> {
+  private async serve(exchange: Exchange): Promise<void> {
+    const { order, request, response, isReserved } = exchange;
     const abort = new AbortController();
     response.once('close', () => abort.abort());
     const takeBody = (): Promise<Buffer> => {
@@ -114,7 +131,7 @@
     };
     const answer = await this.settings.home.run(order, takeBody, abort.signal);
     const headers = [...answer.headers.flatMap((pair) => [...pair])];
-    headers.push(...Object.entries(this.ownHeaders(order)).flat());
+    headers.push(...Object.entries(this.ownHeaders(exchange)).flat());
     if (answer.condition !== undefined) {
       headers.push(conditionHeader, JSON.stringify(answer.condition));
     }
@@ -126,20 +143,17 @@
   }
 
   /** What every answer tells of this daemon. */
-  private ownHeaders(order: HomeOrder): Readonly<Record<string, string>> {
-    const { version, record } = this.settings;
+  private ownHeaders({ order, isNear }: Exchange): Readonly<Record<string, string>> {
+    const { version, record, news } = this.settings;
     const headers: Record<string, string> = { [versionHeader]: String(version()) };
     const own = record();
+    if (isNear) headers[newsHeader] = encodeNews(news());
     if (recordTag(own) !== order.recordTag) headers[recordHeader] = encodeRecord(own);
     return headers;
   }
 
-  private fail(
-    order: HomeOrder,
-    request: IncomingMessage,
-    response: ServerResponse,
-    error: unknown,
-  ): void {
+  private fail(exchange: Exchange, error: unknown): void {
+    const { order, request, response } = exchange;
     if (response.headersSent || response.destroyed) {
       response.destroy();
       return;
@@ -147,7 +161,7 @@
     request.resume();
     const headers: Record<string, string | number> = {
       'content-length': 0,
-      ...this.ownHeaders(order),
+      ...this.ownHeaders(exchange),
     };
     if (error instanceof HomeRefusalError) {
       const { condition, retryAfter, hasReachedTarget } = error.details;
--- a/src/sidecar/PeerLink.ts
+++ b/src/sidecar/PeerLink.ts
@@ -9,6 +9,7 @@
   HomeRefusalError,
   HomeSilentError,
   type Candidate,
+  type ConditionNews,
   type ForwardOrder,
   type TargetAnswer,
 } from '../common/dispatch/Types.js';
@@ -20,9 +21,12 @@
   conditionHeader,
   createOrderHead,
   decodeCondition,
+  decodeNews,
   decodeReason,
+  encodeNews,
   encodeOrder,
   failureHeader,
+  newsHeader,
   orderHeader,
   reachedHeader,
   refusalHeader,
@@ -49,6 +53,7 @@
   reachedHeader,
   versionHeader,
   recordHeader,
+  newsHeader,
   failureHeader,
 ]);
 
@@ -59,6 +64,10 @@
   readonly clock: Clock;
   /** Told the configuration version in force at an answering daemon. */
   readonly onVersion: (version: number) => void;
+  /** Conditions of targets for daemons of this region. */
+  readonly news: () => readonly ConditionNews[];
+  /** Told the conditions that an answering daemon knows. */
+  readonly onNews: (news: readonly ConditionNews[]) => void;
   /** Told the record of an answering daemon of which this one knew an older record. */
   readonly onRecord: (record: DaemonRecord) => void;
 }
@@ -132,6 +141,9 @@
       name.toLowerCase() === 'content-length' ? [] : [name, value],
     );
     headers.push(orderHeader, head);
+    if (candidate.region === this.settings.region) {
+      headers.push(newsHeader, encodeNews(this.settings.news()));
+    }
     if (!call.route.isRepeatable) headers.push('expect', '100-continue');
     if (!call.route.isRepeatable || call.body.length > 0) {
       // Chunks let a refused request end properly without its body.
@@ -194,6 +206,7 @@
     const pairs = pairHeaders(response.rawHeaders);
     const version = Number(findHeader(pairs, versionHeader));
     if (version > 0) this.settings.onVersion(version);
+    this.settings.onNews(decodeNews(findHeader(pairs, newsHeader)));
     const record = decodeRecord(findHeader(pairs, recordHeader) ?? '');
     if (record !== undefined) this.settings.onRecord(record);
     const condition = decodeCondition(findHeader(pairs, conditionHeader));
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -15,7 +15,12 @@
 import { Dispatcher } from '../common/dispatch/Dispatcher.js';
 import { Placement } from '../common/dispatch/Placement.js';
 import { RouteMemory } from '../common/dispatch/RouteMemory.js';
-import type { Candidate, ForwardOrder, TargetAnswer } from '../common/dispatch/Types.js';
+import type {
+  Candidate,
+  ConditionNews,
+  ForwardOrder,
+  TargetAnswer,
+} from '../common/dispatch/Types.js';
 import { decodeRecord, encodeRecord } from '../common/fleet/daemonRecords.js';
 import { FleetDirectory } from '../common/fleet/FleetDirectory.js';
 import { FollowedStore } from '../common/fleet/FollowedStore.js';
@@ -162,12 +167,16 @@
       }),
     );
     const onVersion = (version: number): void => this.noteVersion(version);
+    const onNews = (news: readonly ConditionNews[]): void => this.directory.takeNews(news);
+    const news = (): readonly ConditionNews[] => this.tellNews();
     this.peers = this.disposables.add(
       new PeerLink({
         id: settings.id,
         region: settings.region,
         clock,
         onVersion,
+        news,
+        onNews,
         onRecord: (record) => this.directory.putTold(record),
       }),
     );
@@ -176,6 +185,8 @@
         home: this.home,
         version: () => this.traffic.version,
         record: () => this.record,
+        news,
+        onNews,
         onVersion,
         log,
       }),
@@ -393,6 +404,14 @@
     this.configurationFollower.refresh();
   }
 
+  /** Conditions for other daemons, that of the own target among them. */
+  private tellNews(): readonly ConditionNews[] {
+    this.home.conditions.forEach(([target, condition]) => {
+      this.directory.noteCondition(target, condition);
+    });
+    return this.directory.news;
+  }
+
   private send(
     candidate: Candidate,
     order: ForwardOrder,
--- a/src/sidecar/Types.ts
+++ b/src/sidecar/Types.ts
@@ -28,6 +28,8 @@
   readonly patience: number;
   /** Run it even if the target is suspected. */
   readonly isForced: boolean;
+  /** A suspected target may take it to show whether it has recovered. */
+  readonly isScout: boolean;
   /** It was sent to another target before. */
   readonly isRepeat: boolean;
   readonly isRepeatable: boolean;
--- a/src/sidecar/peerHeaders.ts
+++ b/src/sidecar/peerHeaders.ts
@@ -1,6 +1,11 @@
 /** Headers between daemons. */
 import { brandAs, type RefusalReason, type TargetId } from '../api/index.js';
-import type { Candidate, ForwardOrder, TargetCondition } from '../common/dispatch/Types.js';
+import type {
+  Candidate,
+  ConditionNews,
+  ForwardOrder,
+  TargetCondition,
+} from '../common/dispatch/Types.js';
 import type { OrderHead } from './Types.js';
 
 /** Order of the entry, as JSON. */
@@ -18,6 +23,8 @@
 /** Configuration version in force at the answering daemon. */
 export const versionHeader = 'limpettrack-version';
 
+/** Conditions of targets that the sender learned lately, within one region. */
+export const newsHeader = 'limpettrack-news';
 /** Record of the answering daemon, if the entry knew an older one. */
 export const recordHeader = 'limpettrack-record';
 
@@ -29,6 +36,7 @@
   readonly ms: number;
   readonly p: number;
   readonly f: boolean;
+  readonly s: boolean;
   readonly a: boolean;
   readonly r: boolean;
   readonly k: number;
@@ -53,6 +61,7 @@
     timeout: Math.round(order.timeout),
     patience: Math.round(order.patience),
     isForced: order.isForced,
+    isScout: order.isScout,
     isRepeat: order.isRepeat,
     isRepeatable: route.isRepeatable,
     rank: route.rank,
@@ -73,6 +82,7 @@
     ms: head.timeout,
     p: head.patience,
     f: head.isForced,
+    s: head.isScout,
     a: head.isRepeat,
     r: head.isRepeatable,
     k: head.rank,
@@ -97,6 +107,7 @@
       timeout: wire.ms,
       patience: wire.p,
       isForced: wire.f,
+      isScout: wire.s,
       isRepeat: wire.a,
       isRepeatable: wire.r,
       rank: wire.k,
@@ -127,3 +138,39 @@
 export function decodeReason(value: string): RefusalReason {
   return value as RefusalReason;
 }
+
+/** One condition as it travels. */
+type WireNews = readonly [
+  target: string,
+  age: number,
+  sickness: number,
+  running: number,
+  queued: number,
+  slots: number,
+  work: number,
+];
+
+/** Writes conditions as a header value. */
+export function encodeNews(news: readonly ConditionNews[]): string {
+  const rows = news.map(({ target, age, condition }): WireNews => {
+    const { sickness, running, queued, slots, work } = condition;
+    return [target, Math.round(age), sickness, running, queued, slots, work];
+  });
+  return JSON.stringify(rows);
+}
+
+/** Reads conditions; none if the value is missing or not readable. */
+export function decodeNews(value: string | undefined): ConditionNews[] {
+  if (value === undefined) return [];
+  try {
+    const rows = JSON.parse(value) as readonly WireNews[];
+    return rows.map(([target, age, sickness, running, queued, slots, work]) => ({
+      target: brandAs<TargetId>(target),
+      age,
+      condition: { sickness, running, queued, slots, work },
+    }));
+  } catch {
+    // Missing news only leave this daemon with older knowledge.
+    return [];
+  }
+}
