--- a/src/common/dispatch/Dispatcher.ts
+++ b/src/common/dispatch/Dispatcher.ts
@@ -28,6 +28,8 @@
 const maxRefusals = 12;
 /** Homes without budget after which a retry is given up. */
 const maxBudgetRefusals = 4;
+/** Homes that are asked although their queue looks too long; each costs one hop. */
+const maxDoubtfulAsks = 2;
 /** Times that one home is asked: once for a free slot at a healthy target, and once without these conditions. */
 const maxAsks = 2;
 /** Refusals after which the same home may be asked once more, if no other place is better. */
@@ -94,6 +96,8 @@
   readonly asks: Map<TargetId, number>;
   /** Targets that are not asked again: they may have run the request, or their home takes none. */
   readonly closed: Set<TargetId>;
+  /** Homes that were asked although their queue looked too long. */
+  doubtfulAsks: number;
   /** Targets to which it was sent. */
   sent: number;
   /** Time before which no second attempt follows a slow one. */
@@ -125,6 +129,7 @@
       running: new Set(),
       asks: new Map(),
       closed: new Set(),
+      doubtfulAsks: 0,
       sent: 0,
       hedgeFrom: 0,
       mayHaveRun: false,
@@ -297,7 +302,11 @@
     if (best === undefined) return this.noTarget(journey);
     const left = journey.due - clock.elapsed() - answerMargin;
     const patience = Math.max(0, left - times.median);
-    if (best.wait > patience) return this.busy(journey, best.wait);
+    if (best.wait > patience) {
+      // The queue serves by urgency, so only the home knows how many of the waiting ones go first.
+      if (journey.doubtfulAsks >= maxDoubtfulAsks) return this.busy(journey, best.wait);
+      journey.doubtfulAsks += 1;
+    }
     const isRepeated = journey.asks.has(best.candidate.target);
     // At first a home is asked only for a free slot at a healthy target: another one may have that.
     const isPatient = isRepeated || best.wait > 0;
--- a/src/common/dispatch/Placement.ts
+++ b/src/common/dispatch/Placement.ts
@@ -21,6 +21,8 @@
 const lossCost = 3;
 /** Share of repeatable requests that ask a doubtful target, to learn of its recovery. */
 const scoutShare = 0.2;
+/** Homes refuse all but scouts above this probability of sickness. */
+const refusedSickness = 0.5;
 /** Targets above this probability of sickness are worth a scout; their homes bound how many they get. */
 const scoutSickness = 0.3;
 
@@ -93,7 +95,9 @@
         : fadeOdds(candidate.condition.sickness, candidate.age),
     );
     const work = candidate.condition?.work ?? 0;
-    const loss = isLast ? lossCost * call.route.goal : hedgeDelay;
+    // Homes refuse what they suspect, so that a second round there comes after waiting at a healthy target.
+    const isRisk = isLast || sickness > refusedSickness;
+    const loss = isRisk ? lossCost * call.route.goal : hedgeDelay;
     const isRemote = candidate.region !== this.here.region;
     const cost =
       wait +
--- a/src/common/fleet/FleetDirectory.ts
+++ b/src/common/fleet/FleetDirectory.ts
@@ -9,6 +9,8 @@
 /** Milliseconds for which a daemon that could not be reached is not tried again. */
 const firstRest = 500;
 const longestRest = 4_000;
+/** Share of the targets of a service that may be set aside at a time. */
+const largestSetAside = 0.5;
 /** Milliseconds after which a condition is not passed on: loads have changed by then. */
 const newsLifetime = 2_000;
 /** Conditions in one message; a few hundred bytes, and a fleet of today's size is covered by some messages. */
@@ -192,6 +194,24 @@
     return found;
   }
 
+  /**
+   * Whether a target of a service with these odds of sickness is among those that may be set aside. When most targets
+   * look sick, a service that they call or the load is slow, and setting them all aside would leave nobody to serve.
+   */
+  public maySetAside(service: ServiceName, odds: number): boolean {
+    const own = probabilityOf(odds);
+    let known = 0;
+    let sicker = 0;
+    this.peers.forEach(({ record }) => {
+      record.targets.forEach((target) => {
+        if (target.service !== service) return;
+        known += 1;
+        if (this.sickness(target.id) > own) sicker += 1;
+      });
+    });
+    return sicker < Math.ceil(known * largestSetAside);
+  }
+
   /** Number of targets of a service, those that are not tried now included. */
   public countTargets(service: ServiceName): number {
     return this.records.reduce(
--- a/src/common/health/SicknessFilter.ts
+++ b/src/common/health/SicknessFilter.ts
@@ -3,16 +3,14 @@
 
 /** Share of requests that a sick target loses; gray failures lose most, but not all. */
 export const lossShare = 0.75;
-/** Probability of sickness of a target of which nothing is known. */
+/** Share of the time that a target is sick if nothing is known of it. */
 const priorProbability = 0.15;
 /** Milliseconds after which old evidence counts e times less: sick spells last some seconds. */
 const memory = 5_000;
-/** Bound of the remembered evidence, so that a change is believed after two or three requests. */
-const evidenceBound = 3.5;
-/** Evidence of a failure that the target itself reported or caused; healthy ones fail one request in a hundred. */
-const failureEvidence = 2.2;
-/** Evidence of an answer: a sick target gives a quarter of the answers that a healthy one gives. */
-const successEvidence = Math.log(1 - lossShare);
+/** How much likelier a failure that the target reported or caused is if it is sick. */
+const failureRatio = 9;
+/** Requests of which the evidence is kept apart; twice the slots of large targets. */
+const maxEvidence = 32;
 
 /** Log-odds of a probability. */
 export function logit(probability: number): number {
@@ -24,33 +22,53 @@
   return 1 / (1 + Math.exp(-odds));
 }
 
-const priorOdds = logit(priorProbability);
+/** Probability of sickness `age` milliseconds later: spells begin and end meanwhile. */
+function drift(probability: number, age: number): number {
+  return priorProbability + (probability - priorProbability) * Math.exp(-Math.max(0, age) / memory);
+}
+
+/** Log-odds of a target of which nothing is known. */
+export const unknownOdds = logit(priorProbability);
 
 /** Log-odds after `age` milliseconds without new evidence; they return to those of an unknown target. */
 export function fadeOdds(odds: number, age: number): number {
-  return priorOdds + (odds - priorOdds) * Math.exp(-Math.max(0, age) / memory);
+  return logit(drift(probabilityOf(odds), age));
 }
 
-/** Log-odds of a target of which nothing is known. */
-export const unknownOdds = priorOdds;
-
 /** A request that runs at the target. */
 export interface RunningRequest {
   readonly startedAt: number;
   readonly times: RouteTimes;
 }
 
+/** A request with how much likelier its fate so far is at a sick target than at a healthy one. */
+interface Evidence extends RunningRequest {
+  /** Undefined while the request runs; its age is the evidence then. */
+  ratio: number | undefined;
+  /** Time up to which its fate speaks for the target; undefined while it runs. */
+  until: number | undefined;
+}
+
+/** How much likelier it is that a request still runs at this age if the target is sick. */
+function silenceRatio(times: RouteTimes, age: number): number {
+  const survival = times.survival(age);
+  return (lossShare + (1 - lossShare) * survival) / survival;
+}
+
 /**
- * Estimates whether a target hangs or fails most of its requests. Answers and failures move remembered
- * log-odds that fade; each running request adds evidence by its age, so that a silent target is suspected
- * before any of its requests has failed.
+ * Estimates whether a target hangs or fails most of its requests. The target is taken to change between healthy and
+ * sick at any time, and the fate of a request tells of the time at which it started: answers of older requests do not
+ * speak for a target whose newer ones are silent. The age of running requests counts, so that a silent target is
+ * suspected before any of its requests has failed.
  */
 export class SicknessFilter {
-  private odds = priorOdds;
+  /** In the order of their starts. */
+  private evidence: Evidence[] = [];
 
-  private at: number;
+  /** Probability of sickness at `at` by the requests that are no longer kept. */
+  private base = priorProbability;
 
-  private readonly running = new Set<RunningRequest>();
+  private at: number;
 
   public constructor(private readonly clock: Clock) {
     this.at = clock.elapsed();
@@ -59,48 +77,66 @@
   /** Log-odds of sickness now. */
   public get now(): number {
     const time = this.clock.elapsed();
-    let odds = fadeOdds(this.odds, time - this.at);
-    this.running.forEach(({ startedAt, times }) => {
-      const survival = times.survival(time - startedAt);
-      odds += Math.log((lossShare + (1 - lossShare) * survival) / survival);
+    let probability = this.base;
+    let { at } = this;
+    this.evidence.forEach((entry) => {
+      probability = SicknessFilter.update(drift(probability, entry.startedAt - at), entry, time);
+      at = Math.max(at, entry.until ?? time);
     });
-    return odds;
+    return logit(drift(probability, time - at));
   }
 
   /** Adds a request that starts now. */
   public start(times: RouteTimes): RunningRequest {
-    const request = { startedAt: this.clock.elapsed(), times };
-    this.running.add(request);
+    const request: Evidence = { startedAt: this.clock.elapsed(), times, ratio: undefined, until: undefined };
+    this.evidence.push(request);
+    if (this.evidence.length > maxEvidence) this.absorbOldest();
     return request;
   }
 
   /** Takes a whole answer as evidence. */
   public succeed(request: RunningRequest): void {
-    this.settle(request, successEvidence);
+    this.settle(request, 1 - lossShare, request.startedAt);
     request.times.record(this.clock.elapsed() - request.startedAt);
   }
 
   /** Takes a failure of the target as evidence. */
   public fail(request: RunningRequest): void {
-    this.settle(request, failureEvidence);
+    this.settle(request, failureRatio);
   }
 
-  /** Forgets a request that was cancelled; what its age showed stays as evidence. */
+  /** Ends a request that was cancelled; what its age showed stays as evidence. */
   public cancel(request: RunningRequest): void {
-    const survival = request.times.survival(this.clock.elapsed() - request.startedAt);
-    this.settle(request, Math.log((lossShare + (1 - lossShare) * survival) / survival));
+    this.settle(request, silenceRatio(request.times, this.clock.elapsed() - request.startedAt));
   }
 
   /** Forgets a request that the target has refused. */
   public refuse(request: RunningRequest): void {
-    this.running.delete(request);
+    this.evidence = this.evidence.filter((entry) => entry !== request);
   }
 
-  private settle(request: RunningRequest, evidence: number): void {
-    if (!this.running.delete(request)) return;
-    const time = this.clock.elapsed();
-    const odds = fadeOdds(this.odds, time - this.at) + evidence;
-    this.odds = Math.min(evidenceBound, Math.max(-evidenceBound, odds));
-    this.at = time;
+  /** Probability of sickness after the fate of one request. */
+  private static update(probability: number, { ratio, times, startedAt }: Evidence, time: number) {
+    const weight = probability * (ratio ?? silenceRatio(times, time - startedAt));
+    return weight / (weight + 1 - probability);
+  }
+
+  private settle(
+    request: RunningRequest,
+    ratio: number,
+    until: number = this.clock.elapsed(),
+  ): void {
+    const entry = this.evidence.find((known) => known === request);
+    if (entry === undefined) return;
+    entry.ratio = ratio;
+    entry.until = until;
+  }
+
+  private absorbOldest(): void {
+    const oldest = this.evidence.shift();
+    if (oldest === undefined) return;
+    const probability = drift(this.base, oldest.startedAt - this.at);
+    this.base = SicknessFilter.update(probability, oldest, this.clock.elapsed());
+    this.at = Math.max(this.at, oldest.until ?? this.clock.elapsed());
   }
 }
--- a/src/sidecar/Home.test.ts
+++ b/src/sidecar/Home.test.ts
@@ -103,6 +103,7 @@
       log: new MemoryLog(),
       allowance: () => ({ ratio: 0.2, slack: 2, window: 10 }),
       countTargets: () => 1,
+      maySetAside: () => true,
       checkStart: () => {},
     });
     home.announce(report(address));
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -21,8 +21,14 @@
 import type { GuardedOutcome, GuardedRequest } from '../daemon/CrashGuard.js';
 import { createFingerprint } from '../daemon/fingerprint.js';
 import { TargetFailure } from '../daemon/TargetFailure.js';
-import { TargetLink, type StreamedAnswer } from './TargetLink.js';
-import type { BodyProvider, HeaderVocabulary, HomeOrder } from './Types.js';
+import { TargetLink } from './TargetLink.js';
+import type {
+  BodyProvider,
+  HeaderVocabulary,
+  HomeOrder,
+  StreamedAnswer,
+  TargetConnection,
+} from './Types.js';
 
 /** Only scouts and requests that found no better place are sent to a target that is more likely sick than this. */
 const suspectOdds = logit(0.5);
@@ -44,7 +50,7 @@
 /** A target of this VM with its admission and its health. */
 interface Hosted extends Disposable {
   report: TargetReport;
-  readonly link: TargetLink;
+  readonly link: TargetConnection;
   readonly queue: SlotQueue;
   readonly filter: SicknessFilter;
   readonly scouts: ScoutGate;
@@ -69,6 +75,10 @@
   readonly allowance: () => FleetAllowance;
   /** Number of targets of the service of this VM. */
   readonly countTargets: () => number;
+  /** Whether the target may be set aside with these odds of sickness, so that enough others serve. */
+  readonly maySetAside: (odds: number) => boolean;
+  /** Opens the way to a target; over HTTP/1.1 if it is left out. */
+  readonly connect?: (report: TargetReport) => TargetConnection;
   /** Throws `NotRunError` if a request that has a slot must not run at its target. */
   readonly checkStart: (request: GuardedRequest) => void;
 }
@@ -228,9 +238,9 @@
   }
 
   private host(report: TargetReport): Hosted {
-    const { names, clock } = this.settings;
+    const { names, clock, connect } = this.settings;
     const { address, slots } = report;
-    const link = new TargetLink({ address, slots, names });
+    const link = connect?.(report) ?? new TargetLink({ address, slots, names });
     const queue = new SlotQueue(slots, clock);
     return {
       report,
@@ -293,7 +303,7 @@
 
   private checkHealth(hosted: Hosted, order: HomeOrder): void {
     const odds = hosted.filter.now;
-    if (odds < suspectOdds) return;
+    if (odds < suspectOdds || !this.settings.maySetAside(odds)) return;
     if (order.isForced && odds < hopelessOdds) return;
     if (order.isScout && hosted.scouts.take()) return;
     throw this.refuse(hosted, 'suspect', order);
@@ -411,7 +421,9 @@
         if (queue.queued === 0) return;
         isNeeded = true;
         queue.review();
-        if (filter.now >= suspectOdds) queue.evict('suspect', ({ isMovable }) => isMovable);
+        const odds = filter.now;
+        const isSetAside = odds >= suspectOdds && this.settings.maySetAside(odds);
+        if (isSetAside) queue.evict('suspect', ({ isMovable }) => isMovable);
       });
       if (isNeeded) this.scheduleReview();
     });
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -138,6 +138,7 @@
         log,
         allowance: () => this.retryAllowance(),
         countTargets: () => this.directory.countTargets(settings.service),
+        maySetAside: (odds) => this.directory.maySetAside(settings.service, odds),
         checkStart: (request) => this.crashGuard.checkAt(request),
       }),
     );
--- a/src/sidecar/TargetLink.ts
+++ b/src/sidecar/TargetLink.ts
@@ -5,15 +5,14 @@
   type IncomingMessage,
 } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Readable } from 'node:stream';
-import { OutcomeUnknownError, type Disposable, type OutcomeKind } from '../api/index.js';
-import { HomeRefusalError, type HeaderPair, type TargetAnswer } from '../common/dispatch/Types.js';
+import { OutcomeUnknownError, type OutcomeKind } from '../api/index.js';
+import { HomeRefusalError, type HeaderPair } from '../common/dispatch/Types.js';
 import { dropHopByHop, findHeader, pairHeaders } from '../daemon/Headers.js';
 import { discard } from '../daemon/streams.js';
 import { TargetFailure } from '../daemon/TargetFailure.js';
 import { requireCleanEnd } from './cleanEnd.js';
 import { IdleCheckingAgent } from './IdleCheckingAgent.js';
-import type { HeaderVocabulary, HomeOrder } from './Types.js';
+import type { HeaderVocabulary, HomeOrder, StreamedAnswer, TargetConnection } from './Types.js';
 
 /** Milliseconds to connect on the own VM. */
 const connectTimeout = 400;
@@ -46,9 +45,6 @@
   readonly names: HeaderVocabulary;
 }
 
-/** Answer of a target whose body is still on its way. */
-export type StreamedAnswer = TargetAnswer & { readonly body: Readable };
-
 /** Whether the end of the body is known without the end of the connection. */
 function isFramed(method: string, status: number, headers: readonly HeaderPair[]): boolean {
   return (
@@ -60,7 +56,7 @@
 }
 
 /** Connections to the target of this VM. */
-export class TargetLink implements Disposable {
+export class TargetLink implements TargetConnection {
   private readonly repeatable: Agent;
 
   private readonly once: Agent;
--- a/src/sidecar/Types.ts
+++ b/src/sidecar/Types.ts
@@ -1,5 +1,7 @@
 /** Interfaces of the daemon beside one target. */
-import type { HeaderPair } from '../common/dispatch/Types.js';
+import type { Readable } from 'node:stream';
+import type { Disposable } from '../api/index.js';
+import type { HeaderPair, TargetAnswer } from '../common/dispatch/Types.js';
 
 /** Names of the headers that callers and targets understand, in lower case. The platform gives them. */
 export interface HeaderVocabulary {
@@ -54,3 +56,17 @@
 
 /** Gives the body of a request when the home asks for it, which is when it has a slot. */
 export type BodyProvider = () => Promise<Buffer>;
+
+/** Answer of a target whose body is still on its way. */
+export type StreamedAnswer = TargetAnswer & { readonly body: Readable };
+
+/** Way to one target. */
+export interface TargetConnection extends Disposable {
+  /** Sends a request once; `timeout` in milliseconds. Throws a `TargetFailure`. */
+  send(
+    order: HomeOrder,
+    body: Buffer,
+    timeout: number,
+    signal: AbortSignal,
+  ): Promise<StreamedAnswer>;
+}
--- /dev/null
+++ b/src/testing/SimulatedFleet.ts
@@ -0,0 +1,367 @@
+import { Readable } from 'node:stream';
+import {
+  brandAs,
+  createRandom,
+  NotRunError,
+  OutcomeUnknownError,
+  VirtualClock,
+  type DaemonId,
+  type DataCentre,
+  type Incarnation,
+  type RandomSource,
+  type Region,
+  type RequestId,
+  type ServiceName,
+  type TargetId,
+} from '../api/index.js';
+import { Dispatcher } from '../common/dispatch/Dispatcher.js';
+import { Placement } from '../common/dispatch/Placement.js';
+import { RouteMemory } from '../common/dispatch/RouteMemory.js';
+import {
+  HomeRefusalError,
+  type Candidate,
+  type ForwardOrder,
+  type TargetAnswer,
+} from '../common/dispatch/Types.js';
+import { FleetDirectory } from '../common/fleet/FleetDirectory.js';
+import type { TrafficRoute } from '../common/routing/TrafficTypes.js';
+import { TargetFailure } from '../daemon/TargetFailure.js';
+import { Home } from '../sidecar/Home.js';
+import { createOrderHead } from '../sidecar/peerHeaders.js';
+import type { HomeOrder, StreamedAnswer, TargetConnection } from '../sidecar/Types.js';
+
+/** Milliseconds one way within a region and between regions. */
+const nearDelay = 0.5;
+const farDelay = 20;
+/** Times that a caller comes back after a refusal. */
+const maxReturns = 4;
+/** Standard deviation of the logarithm of the work. */
+const workSpread = 0.6;
+/** Share of requests that run many times longer, and how many times. */
+const stragglers = { share: 0.03, factor: 7 };
+const names = {
+  requestId: 'id',
+  timeout: 'timeout',
+  expectedTarget: 'expected',
+  callerService: 'caller',
+  signature: 'signature',
+  notRun: 'not-run',
+};
+
+/** One kind of requests. */
+export interface SimulatedClass {
+  readonly name: string;
+  readonly service: string;
+  /** Requests in a second; 0 for those that targets make. */
+  readonly rate: number;
+  /** Mean milliseconds of work. */
+  readonly work: number;
+  readonly goal: number;
+  /** Milliseconds of one attempt, and of the caller with all attempts. */
+  readonly timeout: number;
+  readonly deadline: number;
+  readonly isRepeatable: boolean;
+  /** 0 is served first. */
+  readonly rank: number;
+  /** Name of a class of which a run makes one request, with a probability of 0.7. */
+  readonly calls?: string;
+}
+
+/** What to play. */
+export interface SimulatedLoad {
+  readonly seed: number;
+  /** Number of targets of each service. */
+  readonly services: Readonly<Record<string, number>>;
+  readonly slots: number;
+  readonly classes: readonly SimulatedClass[];
+  /** Share of the targets of a service that hang at a time, and of their requests that are lost. */
+  readonly sick: { readonly share: number; readonly loss: number; readonly period: number };
+  /** Seconds. */
+  readonly duration: number;
+  /** Factor of the rates at a time in milliseconds. */
+  readonly crest: (time: number) => number;
+}
+
+/** What callers of one class got. */
+export interface ClassResult {
+  sent: number;
+  served: number;
+  /** Served within the goal. */
+  timely: number;
+  refused: number;
+  failed: number;
+}
+
+interface SimulatedVm {
+  readonly id: DaemonId;
+  readonly target: TargetId;
+  readonly service: string;
+  readonly region: Region;
+  readonly directory: FleetDirectory;
+  readonly dispatcher: Dispatcher;
+  readonly home: Home;
+}
+
+/** Fleet of real dispatchers and homes on a virtual clock, with simulated targets and network. */
+export class SimulatedFleet {
+  public readonly results = new Map<string, ClassResult>();
+
+  /** Times at which each request began at a target. */
+  public readonly starts = new Map<string, number>();
+
+  /** Arrivals at targets beyond the first of each request. */
+  public repeats = 0;
+
+  private readonly clock = new VirtualClock();
+
+  private readonly random: RandomSource;
+
+  private readonly vms: SimulatedVm[];
+
+  private count = 0;
+
+  public constructor(private readonly load: SimulatedLoad) {
+    this.random = createRandom(load.seed);
+    const services = Object.entries(load.services).flatMap(([name, size]) =>
+      new Array<string>(size).fill(name),
+    );
+    this.vms = services.map((service, index) => this.createVm(service, index));
+    this.vms.forEach((vm) => this.register(vm));
+    load.classes.forEach(({ name }) => {
+      this.results.set(name, { sent: 0, served: 0, timely: 0, refused: 0, failed: 0 });
+    });
+  }
+
+  /** Plays the load to its end. */
+  public async play(): Promise<void> {
+    const end = this.load.duration * 1_000;
+    this.load.classes.filter(({ rate }) => rate > 0).forEach((kind) => this.schedule(kind, end));
+    await this.clock.advanceAsync(end + 10_000);
+    this.vms.forEach(({ home }) => home.dispose());
+  }
+
+  private createVm(service: string, index: number): SimulatedVm {
+    const { clock, random } = this;
+    const log = { write: () => {} };
+    const id = brandAs<DaemonId>(`d-${index}`);
+    const region = brandAs<Region>(`region-${index % 2}`);
+    const dataCentre = brandAs<DataCentre>(`dc-${index % 4}`);
+    const directory = new FleetDirectory(clock, log);
+    const { slots, services } = this.load;
+    const home = new Home({
+      address: `t-${index}`,
+      service,
+      names,
+      clock,
+      log,
+      allowance: () => ({ ratio: 0.2, slack: 60, window: 10 }),
+      countTargets: () => services[service] ?? 1,
+      maySetAside: (odds) => directory.maySetAside(brandAs<ServiceName>(service), odds),
+      checkStart: () => {},
+      connect: () => this.connect(index),
+    });
+    const target = brandAs<TargetId>(`t-${index}`);
+    home.announce({
+      id: target,
+      startedAt: 1,
+      sequence: 1,
+      service: brandAs<ServiceName>(service),
+      address: `t-${index}`,
+      slots,
+      state: 'ready',
+      warmUp: 0,
+    });
+    const dispatcher = new Dispatcher({
+      clock,
+      directory,
+      placement: new Placement({ region, dataCentre }, random),
+      memory: new RouteMemory(),
+      send: (candidate, order, signal) => this.send(index, candidate, order, signal),
+      version: () => 1,
+      log,
+    });
+    return { id, target, service, region, directory, dispatcher, home };
+  }
+
+  private register(vm: SimulatedVm): void {
+    this.vms.forEach(({ directory }) => {
+      directory.put({
+        daemon: vm.id,
+        incarnation: brandAs<Incarnation>('1'),
+        serial: 1,
+        address: vm.id,
+        region: vm.region,
+        dataCentre: brandAs<DataCentre>(`dc-${Number(vm.id.slice(2)) % 4}`),
+        state: 'serving',
+        targets: vm.home.published,
+      });
+    });
+  }
+
+  private schedule(kind: SimulatedClass, end: number): void {
+    const rate = kind.rate * this.load.crest(this.clock.elapsed());
+    const pause = (-Math.log(1 - this.random()) * 1_000) / rate;
+    this.clock.after(pause, () => {
+      if (this.clock.elapsed() > end) return;
+      const vm = Math.floor(this.random() * this.vms.length);
+      void this.ask(vm, kind, kind.deadline);
+      this.schedule(kind, end);
+    });
+  }
+
+  /** One request of a caller, who comes back after a refusal if that leaves enough time. */
+  private async ask(vm: number, kind: SimulatedClass, deadline: number): Promise<boolean> {
+    const result = this.results.get(kind.name);
+    if (result === undefined) return false;
+    result.sent += 1;
+    const started = this.clock.elapsed();
+    const due = started + deadline;
+    for (let attempt = 0; attempt <= maxReturns; attempt += 1) {
+      const left = due - this.clock.elapsed();
+      const end = await this.attempt(vm, kind, Math.min(left, kind.timeout));
+      if (end.type !== 'refused' || kind.rate === 0) {
+        const isServed = end.type === 'served';
+        result[end.type] += 1;
+        if (isServed && this.clock.elapsed() - started <= kind.goal) result.timely += 1;
+        return isServed;
+      }
+      if (end.retryAfter > (due - this.clock.elapsed()) / 3) break;
+      await this.sleep(end.retryAfter * (1 + this.random() / 2));
+    }
+    result.refused += 1;
+    return false;
+  }
+
+  private async attempt(
+    vm: number,
+    kind: SimulatedClass,
+    timeout: number,
+  ): Promise<{ type: 'served' | 'failed' } | { type: 'refused'; retryAfter: number }> {
+    this.count += 1;
+    const service = brandAs<ServiceName>(kind.service);
+    const route: TrafficRoute = {
+      ...kind,
+      host: 'h',
+      path: '/',
+      maxAttempts: 2,
+      parts: [{ service, weight: 1 }],
+    };
+    const call = {
+      id: brandAs<RequestId>(`r-${this.count}`),
+      route,
+      service,
+      method: 'POST',
+      path: `/${this.count}`,
+      headers: [],
+      body: Buffer.alloc(0),
+      timeout,
+    };
+    const { dispatcher } = this.vms[vm] ?? {};
+    try {
+      const answer = await dispatcher?.dispatch(call, new AbortController().signal);
+      return { type: answer?.status === 200 ? 'served' : 'failed' };
+    } catch (error) {
+      if (!(error instanceof NotRunError)) return { type: 'failed' };
+      const retryAfter = error instanceof HomeRefusalError ? error.details.retryAfter : undefined;
+      return { type: 'refused', retryAfter: Math.max(100, retryAfter ?? 500) };
+    }
+  }
+
+  private async send(
+    from: number,
+    candidate: Candidate,
+    order: ForwardOrder,
+    signal: AbortSignal,
+  ): Promise<TargetAnswer> {
+    const here = this.vms[from];
+    const there = this.vms.find(({ id }) => id === candidate.daemon);
+    if (here === undefined || there === undefined) throw new Error('no such daemon');
+    const { call } = order;
+    const head = createOrderHead(candidate, order, here.id);
+    const delay = here.region === there.region ? nearDelay : farDelay;
+    if (call.route.isRepeatable) order.onStart();
+    await this.sleep(delay);
+    if (here.region === there.region) this.exchangeNews(here, there);
+    const takeBody = async (): Promise<Buffer> => {
+      order.onStart();
+      return call.body;
+    };
+    try {
+      const { method, path, headers } = call;
+      const answer = await there.home.run({ ...head, method, path, headers }, takeBody, signal);
+      answer.body.resume();
+      return { ...answer, body: Buffer.alloc(0) };
+    } finally {
+      await this.sleep(delay);
+      if (here.region === there.region) this.exchangeNews(there, here);
+    }
+  }
+
+  private exchangeNews(one: SimulatedVm, other: SimulatedVm): void {
+    one.home.conditions.forEach(([target, condition]) => {
+      one.directory.noteCondition(target, condition);
+    });
+    other.directory.takeNews(one.directory.news);
+  }
+
+  private connect(index: number): TargetConnection {
+    return {
+      send: (order, _body, timeout, signal) => this.run(index, order, timeout, signal),
+      dispose: () => {},
+    };
+  }
+
+  private async run(
+    index: number,
+    order: HomeOrder,
+    timeout: number,
+    signal: AbortSignal,
+  ): Promise<StreamedAnswer> {
+    const kind = this.load.classes.find(({ name }) => name === order.route);
+    if (kind === undefined) throw new Error(`no class ${order.route}`);
+    const known = this.starts.get(order.id) ?? 0;
+    this.starts.set(order.id, known + 1);
+    if (known > 0) this.repeats += 1;
+    const end = this.clock.elapsed() + timeout;
+    const isLost = this.isSick(index) && this.random() < this.load.sick.loss;
+    await this.sleep(isLost ? timeout : this.sampleWork(kind.work), signal, timeout);
+    const callee = this.load.classes.find(({ name }) => name === kind.calls);
+    if (callee !== undefined && this.random() < 0.7) {
+      const left = Math.min(callee.timeout, end - this.clock.elapsed());
+      const isAnswered = left > 0 && (await this.ask(index, callee, left));
+      return { status: isAnswered ? 200 : 500, headers: [], body: Readable.from([]) };
+    }
+    return { status: 200, headers: [], body: Readable.from([]) };
+  }
+
+  /** Targets of a service take turns: each period another share of them is sick. */
+  private isSick(index: number): boolean {
+    const { share, period } = this.load.sick;
+    const turn = Math.floor(this.clock.elapsed() / period);
+    const random = createRandom(this.load.seed * 7919 + turn * 131 + index);
+    random();
+    return random() < share;
+  }
+
+  private sampleWork(mean: number): number {
+    const normal =
+      Math.sqrt(-2 * Math.log(1 - this.random())) * Math.cos(2 * Math.PI * this.random());
+    const factor = this.random() < stragglers.share ? stragglers.factor : 1;
+    return mean * factor * Math.exp(workSpread * normal - workSpread ** 2 / 2);
+  }
+
+  private sleep(delay: number, signal?: AbortSignal, limit = Infinity): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const fail = (kind: 'timeout' | 'cancelled') =>
+        reject(new TargetFailure(kind, new OutcomeUnknownError(kind, { step: 'target' })));
+      const timer = this.clock.after(Math.min(delay, limit), () => {
+        if (delay >= limit) fail('timeout');
+        else resolve();
+      });
+      signal?.addEventListener('abort', () => {
+        timer.dispose();
+        fail('cancelled');
+      });
+    });
+  }
+}
