Serve first what can still be in time

Change: among requests of one rank those go first that can be answered in time by their route's own work.

--- a/src/common/admission/SlotQueue.test.ts
+++ b/src/common/admission/SlotQueue.test.ts
@@ -11,7 +11,14 @@
   const events: string[] = [];
   const permits = new Map<string, SlotPermit>();
   const submit = (name: string, change: Partial<SlotDemand> = {}, abort = signal): void => {
-    const demand = { rank: 1, goal: 1_000, patience: 5_000, isMovable: false, ...change };
+    const demand = {
+      rank: 1,
+      goal: 1_000,
+      work: 300,
+      patience: 5_000,
+      isMovable: false,
+      ...change,
+    };
     void queue.submit(demand, abort).then((result) => {
       if (isRight(result)) permits.set(name, result.right);
       events.push(isRight(result) ? `${name} runs` : `${name} ${result.left.reason}`);
--- a/src/common/admission/SlotQueue.ts
+++ b/src/common/admission/SlotQueue.ts
@@ -16,6 +16,8 @@
   readonly rank: number;
   /** Latency in milliseconds that is asked for; among equals the one that is due first goes first. */
   readonly goal: number;
+  /** Milliseconds that it is expected to hold the slot. */
+  readonly work: number;
   /** Milliseconds for which it may wait. */
   readonly patience: number;
   /** Whether it is better placed elsewhere if the target falls sick while it waits. */
@@ -44,16 +46,14 @@
 interface Waiting extends SlotDemand {
   /** Moment at which the answer is asked for. */
   readonly due: number;
+  /** Last moment of a start that can be answered in time. */
+  readonly latestStart: number;
   /** Moment at which it is refused. */
   readonly expires: number;
   readonly decide: (result: Either<SlotRefusal, SlotPermit>) => void;
   timer: Disposable | undefined;
 }
 
-function goesBefore(one: Waiting, other: Waiting): boolean {
-  return one.rank === other.rank ? one.due < other.due : one.rank < other.rank;
-}
-
 /**
  * Admission to the slots of one target: more urgent requests go first, and one that cannot get a slot within its
  * patience is refused on arrival, or as soon as that shows. Answers the load of a crest at which some targets hang:
@@ -110,18 +110,19 @@
       const entry: Waiting = {
         ...demand,
         due: now + demand.goal,
+        latestStart: now + demand.goal - demand.work,
         expires: now + demand.patience,
         decide: resolve,
         timer: undefined,
       };
       const wait = this.waitBehind(
-        this.waiting.filter((other) => !goesBefore(entry, other)).length,
+        this.waiting.filter((other) => !this.goesBefore(entry, other)).length,
       );
       if (wait > demand.patience) {
         resolve(left({ reason: 'busy', retryAfter: wait }));
         return;
       }
-      this.insert(entry);
+      this.waiting.push(entry);
       this.grant();
       if (!this.waiting.includes(entry)) return;
       entry.timer = this.clock.after(demand.patience, () => this.refuse(entry, 'busy'));
@@ -132,7 +133,7 @@
   /** Refuses the waiting requests that will not get a slot in time. */
   public review(): void {
     const now = this.clock.elapsed();
-    [...this.waiting].forEach((entry, index) => {
+    this.ordered().forEach((entry, index) => {
       if (this.waitBehind(index) > entry.expires - now) this.refuse(entry, 'busy');
     });
   }
@@ -159,14 +160,22 @@
     return [...this.held].filter(({ started }) => started < limit).length;
   }
 
-  private insert(entry: Waiting): void {
-    const index = this.waiting.findIndex((other) => goesBefore(entry, other));
-    if (index < 0) this.waiting.push(entry);
-    else this.waiting.splice(index, 0, entry);
+  /** Waiting requests, the next one first. */
+  private ordered(): Waiting[] {
+    return [...this.waiting].sort((one, other) => (this.goesBefore(one, other) ? -1 : 1));
+  }
+
+  /** The more urgent goes first; among equals those that can still be in time, and of these the one due first. */
+  private goesBefore(one: Waiting, other: Waiting): boolean {
+    if (one.rank !== other.rank) return one.rank < other.rank;
+    const now = this.clock.elapsed();
+    const isLate = one.latestStart < now;
+    if (isLate !== other.latestStart < now) return !isLate;
+    return one.due < other.due;
   }
 
   private refuse(entry: Waiting, reason: SlotRefusal['reason']): void {
-    const index = this.waiting.indexOf(entry);
+    const index = this.ordered().indexOf(entry);
     if (!this.remove(entry)) return;
     entry.decide(left({ reason, retryAfter: this.waitBehind(index) }));
   }
@@ -181,7 +190,7 @@
 
   private grant(): void {
     while (this.held.size < this.slots) {
-      const next = this.waiting[0];
+      const [next] = this.ordered();
       if (next === undefined) return;
       this.remove(next);
       next.decide(right(this.createPermit()));
--- a/src/common/health/SicknessFilter.ts
+++ b/src/common/health/SicknessFilter.ts
@@ -88,7 +88,12 @@
 
   /** Adds a request that starts now. */
   public start(times: RouteTimes): RunningRequest {
-    const request: Evidence = { startedAt: this.clock.elapsed(), times, ratio: undefined, until: undefined };
+    const request: Evidence = {
+      startedAt: this.clock.elapsed(),
+      times,
+      ratio: undefined,
+      until: undefined,
+    };
     this.evidence.push(request);
     if (this.evidence.length > maxEvidence) this.absorbOldest();
     return request;
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -17,6 +17,7 @@
 import type { PublishedTarget, TargetReport } from '../common/fleet/Types.js';
 import { logit, SicknessFilter, type RunningRequest } from '../common/health/SicknessFilter.js';
 import { ArrivalBudget, type FleetAllowance } from '../common/retry/ArrivalBudget.js';
+import type { RouteTimes } from '../common/health/RouteTimes.js';
 import { ScoutGate } from '../common/health/ScoutGate.js';
 import type { GuardedOutcome, GuardedRequest } from '../daemon/CrashGuard.js';
 import { createFingerprint } from '../daemon/fingerprint.js';
@@ -267,7 +268,8 @@
     this.checkHealth(hosted, order);
     this.scheduleReview();
     const { rank, goal, patience, isForced } = order;
-    const demand = { rank, goal, patience, isMovable: !isForced };
+    const work = this.timesOf(order).median;
+    const demand = { rank, goal, work, patience, isMovable: !isForced };
     const result = await hosted.queue.submit(demand, signal);
     if (isLeft(result)) {
       const { reason, retryAfter } = result.left;
@@ -318,7 +320,7 @@
     signal: AbortSignal,
   ): Promise<StreamedAnswer> {
     const guarded = this.guard(hosted, order, body);
-    const { times } = this.memory.of({ name: order.route, goal: order.goal });
+    const times = this.timesOf(order);
     const running = hosted.filter.start(times);
     if (order.isRepeat) this.budget.recordRepeat();
     else this.budget.recordFirst();
@@ -336,6 +338,10 @@
     }
   }
 
+  private timesOf({ route, goal }: HomeOrder): RouteTimes {
+    return this.memory.of({ name: route, goal }).times;
+  }
+
   /** Refuses a request that crashes targets, and tells that this one starts. */
   private guard(hosted: Hosted, order: HomeOrder, body: Buffer): GuardedRequest {
     const fingerprint = createFingerprint(order.method, order.path, body);
