--- a/src/common/admission/SlotQueue.test.ts
+++ b/src/common/admission/SlotQueue.test.ts
@@ -14,7 +14,7 @@
     const demand = {
       rank: 1,
       goal: 1_000,
-      work: 300,
+      work: 50,
       patience: 5_000,
       isMovable: false,
       ...change,
@@ -52,6 +52,20 @@
     expect(events).to.deep.equal(['first runs', 'call runs']);
   });
 
+  it('serves those that can be in time before those that cannot, or all come late in an overload', async () => {
+    const { clock, events, permits, submit } = create(1);
+    submit('first');
+    submit('late', { goal: 400, work: 300 });
+    await clock.advanceAsync(200);
+    submit('timely', { goal: 400, work: 100 });
+    await clock.advanceAsync(0);
+    permits.get('first')?.release();
+    await clock.advanceAsync(0);
+    permits.get('timely')?.release();
+    await clock.advanceAsync(0);
+    expect(events).to.deep.equal(['first runs', 'timely runs', 'late runs']);
+  });
+
   it('lets nobody queue for slots that stuck requests hold', async () => {
     const { clock, events, queue, submit } = create(2);
     submit('hung');
--- a/src/common/dispatch/hedgeDelay.ts
+++ b/src/common/dispatch/hedgeDelay.ts
@@ -3,8 +3,8 @@
 
 /** A request is not taken for slow before this many standard deviations, however sick its target seems. */
 const leastDeviation = 0.25;
-/** A healthy target is given up when the request is slower than nineteen in twenty. */
-const greatestDeviation = 1.65;
+/** A healthy target is given up when the request is slower than nine in ten. */
+const greatestDeviation = 1.3;
 
 /**
  * Milliseconds after which a request is more likely lost than slow, for a target that is sick with a given probability.
--- /dev/null
+++ b/src/common/fleet/FleetDirectory.test.ts
@@ -0,0 +1,106 @@
+import { expect } from 'chai';
+import {
+  brandAs,
+  VirtualClock,
+  type DaemonId,
+  type DataCentre,
+  type Incarnation,
+  type Region,
+  type ServiceName,
+  type TargetId,
+} from '../base/index.js';
+import type { TargetCondition } from '../dispatch/Types.js';
+import { logit, unknownOdds, probabilityOf } from '../health/SicknessFilter.js';
+import { FleetDirectory } from './FleetDirectory.js';
+import type { DaemonRecord } from './Types.js';
+
+const service = brandAs<ServiceName>('pujas');
+const target = (name: string): TargetId => brandAs<TargetId>(name);
+
+function record(name: string, change: Partial<DaemonRecord> = {}): DaemonRecord {
+  return {
+    daemon: brandAs<DaemonId>(name),
+    incarnation: brandAs<Incarnation>('1'),
+    serial: 1,
+    address: name,
+    region: brandAs<Region>('gam'),
+    dataCentre: brandAs<DataCentre>('gam-a'),
+    state: 'serving',
+    targets: [
+      {
+        id: target(`t-${name}`),
+        incarnation: brandAs<Incarnation>('1'),
+        service,
+        slots: 5,
+        state: 'ready',
+      },
+    ],
+    ...change,
+  };
+}
+
+const condition = (sickness: number): TargetCondition => ({
+  running: 1,
+  queued: 0,
+  slots: 5,
+  work: 300,
+  sickness: logit(sickness),
+});
+
+function create(names: readonly string[]) {
+  const clock = new VirtualClock();
+  const directory = new FleetDirectory(clock, { write: () => {} });
+  names.forEach((name) => directory.put(record(name)));
+  return { clock, directory };
+}
+
+describe('FleetDirectory', () => {
+  it('passes on what one daemon learned, so that others need no lost request to learn it', () => {
+    const { directory: one } = create(['a', 'b']);
+    const { directory: other } = create(['a', 'b']);
+    one.noteCondition(target('t-a'), condition(0.9));
+    other.takeNews(one.news);
+    expect(other.sickness(target('t-a'))).to.be.closeTo(0.9, 0.01);
+    expect(other.sickness(target('t-b'))).to.equal(probabilityOf(unknownOdds));
+  });
+
+  it('keeps what it learned itself when older news comes later', () => {
+    const { clock, directory } = create(['a']);
+    clock.advance(5_000);
+    directory.noteCondition(target('t-a'), condition(0.1));
+    directory.takeNews([{ target: target('t-a'), condition: condition(0.9), age: 400 }]);
+    expect(directory.sickness(target('t-a'))).to.be.below(0.2);
+  });
+
+  it('tells little and nothing old, or messages grow with the fleet', () => {
+    const { clock, directory } = create([]);
+    for (let index = 0; index < 200; index += 1) {
+      directory.noteCondition(target(`t-${index}`), condition(0.1));
+    }
+    expect(directory.news).to.have.length.at.most(16);
+    clock.advance(10_000);
+    expect(directory.news).to.deep.equal([]);
+  });
+
+  it('does not take an older state of a record for a newer one', () => {
+    const { directory } = create([]);
+    directory.putTold(record('a', { serial: 3, targets: [] }));
+    directory.put(record('a', { serial: 2 }));
+    expect(directory.candidates(service)).to.deep.equal([]);
+  });
+
+  const fleets = [
+    { name: 'one of five looks sick', sick: 1, isSetAside: true },
+    { name: 'all five look sick: they share a cause', sick: 5, isSetAside: false },
+  ];
+  fleets.forEach(({ name, sick, isSetAside }) => {
+    it(`${isSetAside ? 'sets aside' : 'keeps in use'} the least sick when ${name}`, () => {
+      const names = ['a', 'b', 'c', 'd', 'e'];
+      const { directory } = create(names);
+      names.slice(0, sick).forEach((id, index) => {
+        directory.noteCondition(target(`t-${id}`), condition(0.8 + 0.02 * index));
+      });
+      expect(directory.maySetAside(service, logit(0.8))).to.equal(isSetAside);
+    });
+  });
+});
--- a/src/common/health/SicknessFilter.test.ts
+++ b/src/common/health/SicknessFilter.test.ts
@@ -64,6 +64,17 @@
     expect(sickness(filter)).to.be.above(0.5);
   });
 
+  it('does not take answers to older requests for a sign of health while newer ones are silent', () => {
+    const { clock, times, filter } = create();
+    const older = [1, 2, 3, 4].map(() => filter.start(times));
+    clock.advance(100);
+    [1, 2, 3].forEach(() => filter.start(times));
+    clock.advance(450);
+    older.forEach((request) => filter.succeed(request));
+    clock.advance(550);
+    expect(sickness(filter)).to.be.above(0.9);
+  });
+
   it('forgets within some seconds, since sick spells end', () => {
     const { clock, times, filter } = create();
     filter.fail(filter.start(times));
--- a/src/testing/SimulatedFleet.ts
+++ b/src/testing/SimulatedFleet.ts
@@ -106,8 +106,11 @@
 export class SimulatedFleet {
   public readonly results = new Map<string, ClassResult>();
 
-  /** Times at which each request began at a target. */
-  public readonly starts = new Map<string, number>();
+  /** Requests that must not be repeated and began at a target more than once. */
+  public readonly twice: string[] = [];
+
+  /** How often each request began at a target. */
+  private readonly starts = new Map<string, number>();
 
   /** Arrivals at targets beyond the first of each request. */
   public repeats = 0;
@@ -322,6 +325,7 @@
     const known = this.starts.get(order.id) ?? 0;
     this.starts.set(order.id, known + 1);
     if (known > 0) this.repeats += 1;
+    if (known > 0 && !kind.isRepeatable) this.twice.push(order.id);
     const end = this.clock.elapsed() + timeout;
     const isLost = this.isSick(index) && this.random() < this.load.sick.loss;
     await this.sleep(isLost ? timeout : this.sampleWork(kind.work), signal, timeout);
