Keep bytes in the data centre, and read the fleet quickly at a start and slowly later

Placement took any other data centre of the region for nearly free, so that half of the 90 KB manifests crossed; every change of the fleet woke each poll after 0.7 s. Test: Placement by a table of cases (it had none), the follower's calls on the virtual clock.

--- a/src/common/dispatch/Placement.ts
+++ b/src/common/dispatch/Placement.ts
@@ -3,8 +3,13 @@
 import { fadeOdds, probabilityOf, unknownOdds } from '../health/SicknessFilter.js';
 import type { Candidate, IncomingCall } from './Types.js';
 
-/** Milliseconds that a hop to another data centre of the region adds; its bytes are paid too. */
-const dataCentreCost = 4;
+/** Milliseconds that a hop to another data centre of the region adds, to it and back. */
+const dataCentreDelay = 2;
+/**
+ * Milliseconds of wait that are accepted to keep one kilobyte off the links between data centres: at the deployments' prices
+ * it costs as much as this part of the worth of an answer in time.
+ */
+const dataCentreCostPerKilobyte = 5;
 /** Milliseconds of a hop to the other region and back. */
 const regionDelay = 40;
 /** Milliseconds of wait that are accepted to keep one kilobyte off the link between regions. */
@@ -110,7 +115,8 @@
 
   private distance({ region, dataCentre }: Candidate, kilobytes: number): number {
     if (region !== this.here.region) return regionDelay + kilobytes * regionCostPerKilobyte;
-    return dataCentre === this.here.dataCentre ? 0 : dataCentreCost;
+    if (dataCentre === this.here.dataCentre) return 0;
+    return dataCentreDelay + kilobytes * dataCentreCostPerKilobyte;
   }
 
   /** Puts a doubtful target of this region first for some requests that another target can answer as well. */
--- a/src/common/fleet/PrefixFollower.test.ts
+++ b/src/common/fleet/PrefixFollower.test.ts
@@ -7,7 +7,7 @@
 const prefix = 'limpettrack/';
 
 /** Follows a prefix and keeps what an owner would know. */
-function create(rest = 0) {
+function create(rest = 0, earlyRest = rest) {
   const clock = new VirtualClock();
   const store = new FakePolledStore(clock);
   const log = new MemoryLog();
@@ -16,6 +16,7 @@
     prefix,
     wait: 15_000,
     rest,
+    earlyRest,
     clock,
     random: () => 0.5,
     log,
@@ -99,4 +100,21 @@
     expect(known.size).to.equal(24);
     expect(store.calls.watch).to.be.at.most(4);
   });
+
+  it('reads the first changes quickly, or each rest delays a fleet that starts', async () => {
+    const { clock, store, follower, known } = create(1_500, 300);
+    follower.start();
+    await clock.advanceAsync(10);
+    for (let index = 0; index < 3; index += 1) {
+      store.put(`${prefix}${index}`, '1');
+      await clock.advanceAsync(350);
+    }
+    expect(known.size).to.equal(3);
+    for (let index = 0; index < 40; index += 1) {
+      store.put(`${prefix}late`, `${index}`);
+      await clock.advanceAsync(300);
+    }
+    // Twelve seconds of changes are read in rests of 1.5 s once the early ones are over.
+    expect(store.calls.watch).to.be.at.most(18);
+  });
 });
--- a/src/common/fleet/PrefixFollower.ts
+++ b/src/common/fleet/PrefixFollower.ts
@@ -14,6 +14,9 @@
 /** Longest pause in milliseconds: a returned store is noticed well within two seconds. */
 const longestPause = 1_000;
 
+/** Changes after a snapshot that are read with the early rest; a fleet that starts together settles within them. */
+const earlyChanges = 6;
+
 /** What a follower depends on. */
 export interface PrefixFollowerSettings {
   readonly store: PolledStore;
@@ -22,6 +25,8 @@
   readonly wait: number;
   /** Milliseconds of rest after a change, so that a series of changes costs one call. */
   readonly rest: number;
+  /** The same for the first changes after a snapshot: others may be starting as well. */
+  readonly earlyRest: number;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: LogSink;
@@ -43,6 +48,8 @@
 
   private failures = 0;
 
+  private changesSinceSnapshot = 0;
+
   private isDisposed = false;
 
   private poll: AbortController | undefined;
@@ -79,7 +86,7 @@
       try {
         const hasChanged = await this.step();
         this.noteSuccess();
-        if (hasChanged && this.settings.rest > 0) await this.sleep(this.settings.rest);
+        if (hasChanged) await this.rest();
       } catch (error) {
         await this.recover(error);
       }
@@ -91,6 +98,7 @@
     if (this.revision === undefined) {
       const snapshot = await store.snapshot(prefix);
       this.revision = snapshot.revision;
+      this.changesSinceSnapshot = 0;
       if (!this.isDisposed) this.snapshotEmitter.fire(snapshot);
       return true;
     }
@@ -106,6 +114,13 @@
     return changes.length > 0;
   }
 
+  private async rest(): Promise<void> {
+    const isEarly = this.changesSinceSnapshot < earlyChanges;
+    this.changesSinceSnapshot += 1;
+    const rest = isEarly ? this.settings.earlyRest : this.settings.rest;
+    if (rest > 0) await this.sleep(rest);
+  }
+
   private async recover(error: unknown): Promise<void> {
     if (this.isDisposed) return;
     if (error instanceof HistoryLostError) {
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -56,8 +56,10 @@
 const leaseTime = 6;
 /** Milliseconds for which one poll of the store waits; each costs a call. */
 const pollWait = 15_000;
-/** Milliseconds of rest after a change of the fleet, so that a start of all daemons costs few calls. */
-const fleetRest = 700;
+/** Milliseconds of rest after a change of the fleet; a daemon that moves is also found by use meanwhile. */
+const fleetRest = 1_500;
+/** The same while the fleet starts or recovers: each rest delays the first requests. */
+const earlyFleetRest = 300;
 /** Milliseconds between two looks for daemons that are gone. */
 const pruneInterval = 2_000;
 /** Milliseconds between two refreshes that peers with a newer configuration can cause. */
@@ -153,8 +155,8 @@
         log,
       }),
     );
-    this.configurationFollower = this.follow(environment.configuration.key, 0);
-    this.fleetFollower = this.follow(fleetPrefix, fleetRest);
+    this.configurationFollower = this.follow(environment.configuration.key, 0, 0);
+    this.fleetFollower = this.follow(fleetPrefix, fleetRest, earlyFleetRest);
     this.crashGuard = this.disposables.add(
       new CrashGuard({
         store: new FollowedStore(store, this.fleetFollower),
@@ -261,10 +263,10 @@
     });
   }
 
-  private follow(prefix: string, rest: number): PrefixFollower {
+  private follow(prefix: string, rest: number, earlyRest: number): PrefixFollower {
     const { store, clock, random, log } = this.environment;
     return this.disposables.add(
-      new PrefixFollower({ store, prefix, wait: pollWait, rest, clock, random, log }),
+      new PrefixFollower({ store, prefix, wait: pollWait, rest, earlyRest, clock, random, log }),
     );
   }
 
