Bound how sure of a target's health answers can make

A target so sure of its health needed many lost requests before it was suspected. Change: evidence is ordered by the start of requests alone; only the silence of those that started last lasts until now; the probability stays within 0.002 and 0.998. A spell's memory is 8 s (5 s before) and a sick target loses four in five (three in four).

--- a/src/common/health/SicknessFilter.test.ts
+++ b/src/common/health/SicknessFilter.test.ts
@@ -75,6 +75,20 @@
     expect(sickness(filter)).to.be.above(0.9);
   });
 
+  it('never gets so sure of health that a silent target needs many lost requests', () => {
+    const { clock, times, filter } = create();
+    const straggler = filter.start(times);
+    for (let index = 0; index < 200; index += 1) {
+      const request = filter.start(times);
+      clock.advance(5);
+      filter.succeed(request);
+    }
+    filter.succeed(straggler);
+    [1, 2, 3].forEach(() => filter.start(times));
+    clock.advance(1_200);
+    expect(sickness(filter)).to.be.above(0.9);
+  });
+
   it('forgets within some seconds, since sick spells end', () => {
     const { clock, times, filter } = create();
     filter.fail(filter.start(times));
--- a/src/common/health/SicknessFilter.ts
+++ b/src/common/health/SicknessFilter.ts
@@ -2,13 +2,15 @@
 import type { RouteTimes } from './RouteTimes.js';
 
 /** Share of requests that a sick target loses; gray failures lose most, but not all. */
-export const lossShare = 0.75;
+export const lossShare = 0.8;
 /** Share of the time that a target is sick if nothing is known of it. */
 const priorProbability = 0.15;
 /** Milliseconds after which old evidence counts e times less: sick spells last some seconds. */
-const memory = 5_000;
+const memory = 8_000;
 /** How much likelier a failure that the target reported or caused is if it is sick. */
 const failureRatio = 9;
+/** Neither health nor sickness is more certain than this, so that a few requests can show a change. */
+const leastProbability = 0.002;
 /** Requests of which the evidence is kept apart; twice the slots of large targets. */
 const maxEvidence = 32;
 
@@ -45,8 +47,9 @@
 interface Evidence extends RunningRequest {
   /** Undefined while the request runs; its age is the evidence then. */
   ratio: number | undefined;
-  /** Time up to which its fate speaks for the target; undefined while it runs. */
+  /** Time of its end; undefined while it runs. */
   until: number | undefined;
+  isAnswered: boolean;
 }
 
 /** How much likelier it is that a request still runs at this age if the target is sick. */
@@ -79,11 +82,15 @@
     const time = this.clock.elapsed();
     let probability = this.base;
     let { at } = this;
+    // Silence of the requests that started last lasts until now or until they ended.
+    let silentUntil = at;
     this.evidence.forEach((entry) => {
-      probability = SicknessFilter.update(drift(probability, entry.startedAt - at), entry, time);
-      at = Math.max(at, entry.until ?? time);
+      const { startedAt, isAnswered, until = time } = entry;
+      probability = SicknessFilter.update(drift(probability, startedAt - at), entry, time);
+      at = startedAt;
+      silentUntil = isAnswered ? startedAt : Math.max(silentUntil, until);
     });
-    return logit(drift(probability, time - at));
+    return logit(drift(probability, time - Math.max(at, silentUntil)));
   }
 
   /** Adds a request that starts now. */
@@ -93,6 +100,7 @@
       times,
       ratio: undefined,
       until: undefined,
+      isAnswered: false,
     };
     this.evidence.push(request);
     if (this.evidence.length > maxEvidence) this.absorbOldest();
@@ -101,7 +109,7 @@
 
   /** Takes a whole answer as evidence. */
   public succeed(request: RunningRequest): void {
-    this.settle(request, 1 - lossShare, request.startedAt);
+    this.settle(request, 1 - lossShare, true);
     request.times.record(this.clock.elapsed() - request.startedAt);
   }
 
@@ -123,18 +131,16 @@
   /** Probability of sickness after the fate of one request. */
   private static update(probability: number, { ratio, times, startedAt }: Evidence, time: number) {
     const weight = probability * (ratio ?? silenceRatio(times, time - startedAt));
-    return weight / (weight + 1 - probability);
+    const posterior = weight / (weight + 1 - probability);
+    return Math.min(1 - leastProbability, Math.max(leastProbability, posterior));
   }
 
-  private settle(
-    request: RunningRequest,
-    ratio: number,
-    until: number = this.clock.elapsed(),
-  ): void {
+  private settle(request: RunningRequest, ratio: number, isAnswered = false): void {
     const entry = this.evidence.find((known) => known === request);
     if (entry === undefined) return;
     entry.ratio = ratio;
-    entry.until = until;
+    entry.until = this.clock.elapsed();
+    entry.isAnswered = isAnswered;
   }
 
   private absorbOldest(): void {
@@ -142,6 +148,6 @@
     if (oldest === undefined) return;
     const probability = drift(this.base, oldest.startedAt - this.at);
     this.base = SicknessFilter.update(probability, oldest, this.clock.elapsed());
-    this.at = Math.max(this.at, oldest.until ?? this.clock.elapsed());
+    this.at = oldest.startedAt;
   }
 }
