Queue a request only as long as its answer can be in time

Homes kept a request until the route's timeout less its work; requests that could be in time overtook it, so it was refused after 0.5 to 3 s. Change: the patience at a home ends where the answer would come later than the route's goal; the caller is told when to come back.

--- a/src/common/dispatch/Dispatcher.test.ts
+++ b/src/common/dispatch/Dispatcher.test.ts
@@ -32,7 +32,8 @@
 const region = brandAs<Region>('gam');
 const dataCentre = brandAs<DataCentre>('gam-a');
 
-type Behaviour = 'answers' | 'hangs' | 'breaks' | 'suspect' | 'full' | 'unreachable' | 'fails';
+type Behaviour =
+  'busy' | 'answers' | 'hangs' | 'breaks' | 'suspect' | 'full' | 'unreachable' | 'fails';
 
 /** Starts and ends of one request as the targets see them. */
 interface World {
@@ -96,8 +97,14 @@
   const refuse = (
     reason: ConstructorParameters<typeof HomeRefusalError>[0],
     sickness: number,
+    queued = 0,
   ): HomeRefusalError =>
-    new HomeRefusalError(reason, reason, { step: 'test' }, { condition: condition(sickness) });
+    new HomeRefusalError(
+      reason,
+      reason,
+      { step: 'test' },
+      { condition: { ...condition(sickness), queued } },
+    );
   const send = async (
     { target }: Candidate,
     order: ForwardOrder,
@@ -111,6 +118,7 @@
     }
     await wait(clock, 1, signal);
     if (behaviour === 'suspect' && !order.isForced) throw refuse('suspect', 0.7);
+    if (behaviour === 'busy') throw refuse('queue-full', 0.1, 60);
     if (behaviour === 'full' && order.patience === 0) throw refuse('queue-full', 0.1);
     if (behaviour === 'unreachable') throw refuse('connect-failed', 0.1);
     order.onStart();
@@ -308,6 +316,20 @@
     expect(second?.timeout).to.be.at.most((first?.timeout ?? 0) - 500);
   });
 
+  it('lets a home queue a request only as long as the answer can be in time, or queues fill with late work', async () => {
+    const world = createWorld({ a: 'full', b: 'full' });
+    await play(world, bid);
+    const patiences = world.orders.map(({ patience }) => patience);
+    expect(Math.max(...patiences)).to.be.within(1, bid.goal);
+  });
+
+  it('asks only two homes although their queue looks too long, since each costs a hop', async () => {
+    const world = createWorld({ a: 'busy', b: 'busy', c: 'busy', d: 'busy' });
+    expect(await play(world, bid)).to.equal('not run');
+    const rounds = world.orders.filter(({ patience }) => patience > 0);
+    expect(rounds).to.have.length(2);
+  });
+
   it('cancels at the target at once when the caller leaves', async () => {
     const world = createWorld({ a: 'hangs' });
     await play(world, bid, 200);
--- a/src/common/dispatch/Dispatcher.ts
+++ b/src/common/dispatch/Dispatcher.ts
@@ -301,7 +301,8 @@
     const [best] = placement.rank(open, facts);
     if (best === undefined) return this.noTarget(journey);
     const left = journey.due - clock.elapsed() - answerMargin;
-    const patience = Math.max(0, left - times.median);
+    // A caller that would be served late is better told when to come back: the queue stays short for the others.
+    const patience = Math.max(0, Math.min(left, call.route.goal) - times.median);
     if (best.wait > patience) {
       // The queue serves by urgency, so only the home knows how many of the waiting ones go first.
       if (journey.doubtfulAsks >= maxDoubtfulAsks) return this.busy(journey, best.wait);
