Look targets up by service, and keep notes of present targets only

Cause: docs/CAPACITY.md named the walk over all daemons for each choice as a wall at 730 daemons; the exchange of conditions added two more (news and the bound of targets set aside), at some 900 exchanges a second there. Notes of targets that had left a record were never dropped. Change: an index by service that a change of the fleet renews; news come from the 32 notes that were learned last; a record that no longer lists a target drops its note, and news of unknown targets are not kept. Test: news of a target that has left. The other tests of the directory stay as they are.

--- a/src/common/fleet/FleetDirectory.test.ts
+++ b/src/common/fleet/FleetDirectory.test.ts
@@ -82,6 +82,15 @@
     expect(directory.news).to.deep.equal([]);
   });
 
+  it('forgets targets that have left, whatever others still tell of them', () => {
+    const { directory } = create(['a']);
+    directory.noteCondition(target('t-a'), condition(0.9));
+    directory.put(record('a', { serial: 2, targets: [] }));
+    directory.takeNews([{ target: target('t-a'), condition: condition(0.9), age: 0 }]);
+    expect(directory.news).to.deep.equal([]);
+    expect(directory.sickness(target('t-a'))).to.equal(probabilityOf(unknownOdds));
+  });
+
   it('does not take an older state of a record for a newer one', () => {
     const { directory } = create([]);
     directory.putTold(record('a', { serial: 3, targets: [] }));
--- a/src/common/fleet/FleetDirectory.ts
+++ b/src/common/fleet/FleetDirectory.ts
@@ -13,6 +13,8 @@
 const largestSetAside = 0.5;
 /** Milliseconds after which a condition is not passed on: loads have changed by then. */
 const newsLifetime = 2_000;
+/** Conditions among which the newest are chosen. */
+const recentLength = 32;
 /** Conditions in one message; a few hundred bytes, and a fleet of today's size is covered by some messages. */
 const newsLength = 8;
 
@@ -27,6 +29,18 @@
   restUntil: number;
 }
 
+/** A target with the daemon that lists it. */
+interface ListedTarget {
+  readonly peer: Peer;
+  readonly target: PublishedTarget;
+}
+
+/** Targets of all records, looked up by service and by id. */
+interface TargetIndex {
+  readonly byService: ReadonlyMap<ServiceName, readonly ListedTarget[]>;
+  readonly ids: ReadonlySet<TargetId>;
+}
+
 interface TargetNote {
   inFlight: number;
   condition: TargetCondition | undefined;
@@ -39,6 +53,12 @@
 
   private readonly notes = new Map<TargetId, TargetNote>();
 
+  /** Notes that were learned last, so that news cost no walk over the fleet. */
+  private readonly recent = new Map<TargetId, TargetNote>();
+
+  /** Targets of all records; absent after a change until it is needed. */
+  private index: TargetIndex | undefined;
+
   public constructor(
     private readonly clock: Clock,
     private readonly log: LogSink,
@@ -68,6 +88,8 @@
     const known = this.peers.get(record.daemon);
     const isRestarted = known?.record.incarnation !== record.incarnation;
     if (!isRestarted && record.serial < (known?.record.serial ?? 0)) return;
+    this.index = undefined;
+    this.dropNotes(known?.record, record);
     if (known === undefined || isRestarted) {
       this.write('a daemon has joined', record);
       this.peers.set(record.daemon, {
@@ -99,7 +121,8 @@
       if (unlistedAt === undefined) return;
       if (now - Math.max(unlistedAt, reachedAt) < unlistedLimit) return;
       this.peers.delete(daemon);
-      record.targets.forEach(({ id }) => this.notes.delete(id));
+      this.index = undefined;
+      this.dropNotes(record);
       this.write('a daemon is gone', record);
     });
   }
@@ -140,13 +163,14 @@
     if (note.condition !== undefined && note.learnedAt > learnedAt) return;
     note.condition = condition;
     note.learnedAt = learnedAt;
+    this.keepRecent(target, note);
   }
 
   /** Conditions that were reported last, newest first, for other daemons. */
   public get news(): ConditionNews[] {
     const now = this.clock.elapsed();
     const rows: ConditionNews[] = [];
-    this.notes.forEach(({ condition, learnedAt }, target) => {
+    this.recent.forEach(({ condition, learnedAt }, target) => {
       const age = now - learnedAt;
       if (condition !== undefined && age <= newsLifetime) rows.push({ target, condition, age });
     });
@@ -155,7 +179,11 @@
 
   /** Learns conditions from another daemon. */
   public takeNews(news: readonly ConditionNews[]): void {
-    news.forEach(({ target, condition, age }) => this.noteCondition(target, condition, age));
+    const { ids } = this.currentIndex;
+    news.forEach(({ target, condition, age }) => {
+      // Notes of targets that have left would stay for good.
+      if (ids.has(target)) this.noteCondition(target, condition, age);
+    });
   }
 
   /** Probability that a target is sick, by what is known now. */
@@ -175,6 +203,7 @@
 
   /** Counts a request that is sent to a target (+1) or has ended there (-1). */
   public count(target: TargetId, change: 1 | -1): void {
+    if (change < 0 && !this.notes.has(target)) return;
     const note = this.noteOf(target);
     note.inFlight = Math.max(0, note.inFlight + change);
   }
@@ -183,13 +212,9 @@
   public candidates(service: ServiceName): Candidate[] {
     const now = this.clock.elapsed();
     const found: Candidate[] = [];
-    this.peers.forEach(({ record, restUntil }) => {
-      if (record.state === 'leaving' || restUntil > now) return;
-      record.targets.forEach((target) => {
-        if (target.service === service && target.state === 'ready') {
-          found.push(this.createCandidate(record, target, now));
-        }
-      });
+    this.targetsOf(service).forEach(({ peer: { record, restUntil }, target }) => {
+      if (record.state === 'leaving' || restUntil > now || target.state !== 'ready') return;
+      found.push(this.createCandidate(record, target, now));
     });
     return found;
   }
@@ -200,24 +225,54 @@
    */
   public maySetAside(service: ServiceName, odds: number): boolean {
     const own = probabilityOf(odds);
-    let known = 0;
-    let sicker = 0;
-    this.peers.forEach(({ record }) => {
-      record.targets.forEach((target) => {
-        if (target.service !== service) return;
-        known += 1;
-        if (this.sickness(target.id) > own) sicker += 1;
-      });
-    });
-    return sicker < Math.ceil(known * largestSetAside);
+    const targets = this.targetsOf(service);
+    const sicker = targets.filter(({ target }) => this.sickness(target.id) > own);
+    return sicker.length < Math.ceil(targets.length * largestSetAside);
   }
 
   /** Number of targets of a service, those that are not tried now included. */
   public countTargets(service: ServiceName): number {
-    return this.records.reduce(
-      (sum, { targets }) => sum + targets.filter((target) => target.service === service).length,
-      0,
-    );
+    return this.targetsOf(service).length;
+  }
+
+  private targetsOf(service: ServiceName): readonly ListedTarget[] {
+    return this.currentIndex.byService.get(service) ?? [];
+  }
+
+  private get currentIndex(): TargetIndex {
+    this.index ??= this.createIndex();
+    return this.index;
+  }
+
+  private createIndex(): TargetIndex {
+    const byService = new Map<ServiceName, ListedTarget[]>();
+    const ids = new Set<TargetId>();
+    this.peers.forEach((peer) => {
+      peer.record.targets.forEach((target) => {
+        const listed = byService.get(target.service) ?? [];
+        listed.push({ peer, target });
+        byService.set(target.service, listed);
+        ids.add(target.id);
+      });
+    });
+    return { byService, ids };
+  }
+
+  /** Forgets the targets of a record that the next one no longer lists. */
+  private dropNotes(record: DaemonRecord | undefined, next?: DaemonRecord): void {
+    record?.targets.forEach(({ id }) => {
+      if (next?.targets.some((target) => target.id === id) === true) return;
+      this.notes.delete(id);
+      this.recent.delete(id);
+    });
+  }
+
+  private keepRecent(target: TargetId, note: TargetNote): void {
+    this.recent.delete(target);
+    this.recent.set(target, note);
+    if (this.recent.size <= recentLength) return;
+    const [oldest] = this.recent.keys();
+    if (oldest !== undefined) this.recent.delete(oldest);
   }
 
   private createCandidate(record: DaemonRecord, target: PublishedTarget, now: number): Candidate {
