--- a/src/sidecar/Settings.ts
+++ b/src/sidecar/Settings.ts
@@ -16,6 +16,7 @@
   integer,
   list,
   name,
+  optional,
   quantity,
   required,
   SettingsReader,
@@ -37,6 +38,8 @@
   readonly callers: string;
   /** `host:port` for other daemons. */
   readonly peer: string;
+  /** `host:port` at which other daemons reach `peer`; another one if there is a translation of addresses between. */
+  readonly advertised: string;
   /** `host:port` where the platform asks whether this daemon takes work. */
   readonly readiness: string;
   /** `host:port` for the announcements of the target. */
@@ -74,6 +77,7 @@
   listen: single({
     callers: required(address()),
     peer: required(address()),
+    advertised: optional(address()),
     readiness: required(address()),
     admin: required(address()),
     metrics: required(address()),
@@ -109,6 +113,7 @@
       service: brandAs<ServiceName>(target.service),
       target: target.address,
       ...listen,
+      advertised: listen.advertised ?? listen.peer,
       store: store.addresses,
       retryRatio: retries.ratio,
       retrySlack: retries.slack,
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -377,12 +377,12 @@
   }
 
   private createRecord(serial: number): DaemonRecord {
-    const { id, peer, region, dataCentre } = this.settings;
+    const { id, advertised, region, dataCentre } = this.settings;
     return {
       daemon: id,
       incarnation: this.incarnation,
       serial,
-      address: peer,
+      address: advertised,
       region,
       dataCentre,
       state: this.isStopping ? 'leaving' : 'serving',
