--- a/src/common/admission/SlotQueue.ts
+++ b/src/common/admission/SlotQueue.ts
@@ -52,6 +52,8 @@
   readonly expires: number;
   readonly decide: (result: Either<SlotRefusal, SlotPermit>) => void;
   timer: Disposable | undefined;
+  /** Stops listening to the caller. */
+  forget: (() => void) | undefined;
 }
 
 /**
@@ -114,6 +116,7 @@
         expires: now + demand.patience,
         decide: resolve,
         timer: undefined,
+        forget: undefined,
       };
       const wait = this.waitBehind(
         this.waiting.filter((other) => !this.goesBefore(entry, other)).length,
@@ -126,7 +129,9 @@
       this.grant();
       if (!this.waiting.includes(entry)) return;
       entry.timer = this.clock.after(demand.patience, () => this.refuse(entry, 'busy'));
-      signal.addEventListener('abort', () => this.refuse(entry, 'cancelled'), { once: true });
+      const cancel = (): void => this.refuse(entry, 'cancelled');
+      signal.addEventListener('abort', cancel, { once: true });
+      entry.forget = () => signal.removeEventListener('abort', cancel);
     });
   }
 
@@ -185,6 +190,7 @@
     if (index < 0) return false;
     this.waiting.splice(index, 1);
     entry.timer?.dispose();
+    entry.forget?.();
     return true;
   }
 
