--- /dev/null
+++ b/src/node/freePorts.test.ts
@@ -0,0 +1,15 @@
+import { expect } from 'chai';
+import { findFreePorts } from './freePorts.js';
+
+/** First port that Linux gives to outgoing connections unless it is told otherwise. */
+const firstEphemeralPort = 32_768;
+
+describe('findFreePorts', () => {
+  it('finds ports that no outgoing connection takes before they are bound', async () => {
+    const found = await Promise.all([findFreePorts(5), findFreePorts(5)]);
+    found.forEach((ports) => {
+      expect(new Set(ports)).to.have.property('size', 5);
+      ports.forEach((port) => expect(port).to.be.within(1_024, firstEphemeralPort - 1));
+    });
+  });
+});
