--- a/src/common/dispatch/Dispatcher.ts
+++ b/src/common/dispatch/Dispatcher.ts
@@ -34,9 +34,9 @@
 const maxAsks = 2;
 /** Refusals after which the same home may be asked once more, if no other place is better. */
 const softRefusals: ReadonlySet<RefusalReason> = new Set(['suspect', 'queue-full']);
-/** Milliseconds between two looks at what is known of the target that runs a request. */
+/** Milliseconds between two looks at what is known of the target that runs a request; news arrive about as often. */
 const hedgeReview = 150;
-/** Milliseconds until another try of a second attempt that no home had budget or room for. */
+/** Milliseconds until another try of a second attempt that no home had budget or room for: about one short request. */
 const hedgePause = 250;
 /** Suspicion of a target that let a hedge timer run out. */
 const hedgedOdds = logit(0.6);
--- a/src/common/fleet/FleetDirectory.ts
+++ b/src/common/fleet/FleetDirectory.ts
@@ -9,11 +9,11 @@
 /** Milliseconds for which a daemon that could not be reached is not tried again. */
 const firstRest = 500;
 const longestRest = 4_000;
-/** Share of the targets of a service that may be set aside at a time. */
+/** Share of a service's targets that may be set aside at a time: 3 in 10 hang in turns, and another fault may come. */
 const largestSetAside = 0.5;
 /** Milliseconds after which a condition is not passed on: loads have changed by then. */
 const newsLifetime = 2_000;
-/** Conditions among which the newest are chosen. */
+/** Conditions among which the newest are chosen; some messages in turn then tell of all targets of today's fleets. */
 const recentLength = 32;
 /** Conditions in one message; a few hundred bytes, and a fleet of today's size is covered by some messages. */
 const newsLength = 8;
