Log the requests that a stopping daemon cuts

A daemon that ended at the end of its grace period wrote nothing about the requests whose connections it closed, and its last lines could be lost with the process, so that its log could not tell a request that still looked for a target from one whose response was being sent, nor from a process that had ended early.

--- /dev/null
+++ b/src/sidecar/CallerServer.test.ts
@@ -0,0 +1,122 @@
+import { request as startRequest } from 'node:http';
+import { text } from 'node:stream/consumers';
+import { expect } from 'chai';
+import { brandAs, createRandom, type ServiceName } from '../api/index.js';
+import type { IncomingCall, TargetAnswer } from '../common/dispatch/Types.js';
+import { SystemClock } from '../node/SystemClock.js';
+import { MemoryLog } from '../testing/MemoryLog.js';
+import { CallerServer } from './CallerServer.js';
+import { TrafficState } from './TrafficState.js';
+
+const host = 'shop.example';
+const names = {
+  requestId: 'id',
+  timeout: 'timeout',
+  expectedTarget: 'expected',
+  callerService: 'caller',
+  signature: 'signature',
+  notRun: 'not-run',
+};
+
+/** Server for callers whose dispatcher answers as the test says. */
+class Fixture {
+  public readonly log = new MemoryLog();
+
+  public readonly server: CallerServer;
+
+  private readonly arrivals: (() => void)[] = [];
+
+  private port = 0;
+
+  public constructor(dispatch: (call: IncomingCall) => Promise<TargetAnswer>) {
+    const traffic = new TrafficState(this.log);
+    traffic.apply({
+      version: 1,
+      routes: [
+        {
+          name: 'lots',
+          host,
+          path: '/lots/',
+          isIdempotent: true,
+          timeout: 10_000,
+          goal: 1_000,
+          rank: 1,
+          maxAttempts: 2,
+          parts: [{ service: brandAs<ServiceName>('lots'), weight: 1 }],
+        },
+      ],
+      limits: traffic.limits,
+    });
+    this.server = new CallerServer({
+      names,
+      service: 'lots',
+      traffic,
+      dispatcher: {
+        dispatch: (call) => {
+          this.arrivals.shift()?.();
+          return dispatch(call);
+        },
+      },
+      clock: new SystemClock(),
+      random: createRandom(1),
+      log: this.log,
+      onEnd: () => {},
+    });
+  }
+
+  public async listen(): Promise<void> {
+    this.port = await this.server.listen('127.0.0.1:0');
+  }
+
+  /** Resolves when the next request reaches the dispatcher. */
+  public arrival(): Promise<void> {
+    return new Promise((resolve) => {
+      this.arrivals.push(resolve);
+    });
+  }
+
+  /** Sends a request; resolves to its body, or to how it ended without one. */
+  public send(id: string): Promise<string> {
+    return new Promise((resolve) => {
+      const headers = { host, id };
+      const options = {
+        agent: false,
+        host: '127.0.0.1',
+        port: this.port,
+        path: '/lots/1',
+        headers,
+      };
+      const request = startRequest(options, (response) => {
+        text(response).then(resolve, () => resolve('truncated'));
+      });
+      request.on('error', () => resolve('no response'));
+      request.end();
+    });
+  }
+}
+
+describe('CallerServer', () => {
+  it('logs each request whose connection it closes without a complete response, with id and phase', async () => {
+    const fixture = new Fixture(() => new Promise(() => {}));
+    await fixture.listen();
+    const arrived = fixture.arrival();
+    const result = fixture.send('r-1');
+    await arrived;
+    fixture.server.dispose();
+    expect(await result).to.equal('no response');
+    const [line] = fixture.log.lines.filter(({ level }) => level === 'error');
+    expect(line?.fields).to.include({ request: 'r-1', route: 'lots', phase: 'dispatch' });
+  });
+
+  it('logs no unanswered request after a complete response', async () => {
+    const fixture = new Fixture(async () => ({
+      status: 200,
+      headers: [],
+      body: Buffer.from('good'),
+    }));
+    await fixture.listen();
+    expect(await fixture.send('r-1')).to.equal('good');
+    fixture.server.dispose();
+    expect(fixture.log.lines.filter(({ level }) => level === 'error')).to.have.length(0);
+  });
+});
--- a/src/sidecar/CallerServer.ts
+++ b/src/sidecar/CallerServer.ts
@@ -73,13 +73,28 @@
   return Buffer.concat(chunks);
 }
 
+/** A request without a complete response. */
+interface OpenRequest {
+  readonly id: string;
+  readonly request: IncomingMessage;
+  /** Time at which its head arrived. */
+  readonly started: number;
+  route: TrafficRoute | undefined;
+}
+
+/** Part of its handling that an open request has reached. */
+function phaseOf(request: IncomingMessage, response: ServerResponse): string {
+  if (response.headersSent) return 'response';
+  return request.complete ? 'dispatch' : 'body';
+}
+
 /** HTTP server for callers on this VM. */
 export class CallerServer implements Disposable {
   private readonly server: Server;
 
   private isStopping = false;
 
-  private inFlight = 0;
+  private readonly openRequests = new Map<ServerResponse, OpenRequest>();
 
   public constructor(private readonly settings: CallerServerSettings) {
     this.server = createServer({ maxHeaderSize, requestTimeout: 0 }, (request, response) => {
@@ -94,7 +109,7 @@
 
   /** Requests without a complete response. */
   public get load(): number {
-    return this.inFlight;
+    return this.openRequests.size;
   }
 
   /** Binds to `host:port` and returns the port. */
@@ -117,7 +132,10 @@
     clearInterval(timer);
   }
 
+  /** Closes all connections and logs the requests that get no complete response. */
   public dispose(): void {
+    this.openRequests.forEach((open, response) => this.logUnanswered(open, response));
+    this.openRequests.clear();
     this.server.close();
     this.server.closeAllConnections();
   }
@@ -134,11 +152,9 @@
     const id = findHeader(pairs, this.settings.names.requestId) ?? '';
     response.sendDate = false;
     if (this.isStopping) response.setHeader('connection', 'close');
-    this.inFlight += 1;
-    response.once('close', () => {
-      this.inFlight -= 1;
-    });
-    let route: TrafficRoute | undefined;
+    const open: OpenRequest = { id, request, started, route: undefined };
+    this.openRequests.set(response, open);
+    response.once('close', () => this.openRequests.delete(response));
     let service = '';
     try {
       const checked = checkRequest(request, pairs);
@@ -147,15 +163,16 @@
         sendText(response, checked.left.status, checked.left.message);
         return;
       }
-      route = this.findRoute(checked.right);
+      const route = this.findRoute(checked.right);
+      open.route = route;
       service = chooseService(route, this.settings.random) ?? '';
       await this.serve(request, response, { id, pairs, route, service, started, ...checked.right });
     } catch (error) {
-      this.sendFailure(response, id, route, error);
+      this.sendFailure(response, id, open.route, error);
     } finally {
       this.settings.onEnd({
         service,
-        route: route?.name ?? '',
+        route: open.route?.name ?? '',
         status: response.statusCode,
         duration: this.settings.clock.elapsed() - started,
       });
@@ -252,6 +269,23 @@
     response.end(body);
   }
 
+  private logUnanswered(open: OpenRequest, response: ServerResponse): void {
+    const { log, clock } = this.settings;
+    const { id, request, started, route } = open;
+    log.write({
+      level: 'error',
+      kind: 'refusal',
+      message: 'closed the connection of a request without a complete response',
+      fields: {
+        step: 'entry.dispose',
+        request: id,
+        route: route?.name,
+        phase: phaseOf(request, response),
+        age: Math.round(clock.elapsed() - started),
+      },
+    });
+  }
+
   private sendFailure(
     response: ServerResponse,
     id: string,
--- a/src/sidecar/JsonLineSink.test.ts
+++ b/src/sidecar/JsonLineSink.test.ts
@@ -63,6 +63,21 @@
     expect(routed()).to.equal(401);
   });
 
+  it('waits for all buffered lines, so that the last lines of a process are not lost', async () => {
+    const { sink, pending, lines } = create();
+    const written: number[] = [];
+    await sink.flushed();
+    sink.write(line());
+    sink.write(line());
+    const flushed = sink.flushed().then(() => written.push(lines().length));
+    pending.shift()?.();
+    await Promise.resolve();
+    expect(written).to.deep.equal([]);
+    pending.shift()?.();
+    await flushed;
+    expect(written).to.deep.equal([2]);
+  });
+
   it('omits lines below its level', () => {
     const { sink, lines } = create();
     sink.setLevel('warn');
--- a/src/sidecar/JsonLineSink.ts
+++ b/src/sidecar/JsonLineSink.ts
@@ -23,6 +23,8 @@
 
   private routeLines = 0;
 
+  private idleListeners: (() => void)[] = [];
+
   public constructor(
     private level: LogLevel,
     private readonly clock: Clock,
@@ -47,6 +49,14 @@
     this.flush();
   }
 
+  /** Resolves when all buffered lines are written. */
+  public flushed(): Promise<void> {
+    if (!this.isWriting) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.idleListeners.push(resolve);
+    });
+  }
+
   private exceedsRouteLimit(): boolean {
     const second = Math.floor(this.clock.elapsed() / millisecondsPerSecond);
     if (second !== this.second) {
@@ -82,6 +92,13 @@
     this.writeChunk(chunk, () => {
       this.isWriting = false;
       this.flush();
+      if (!this.isWriting) this.notifyIdle();
     });
   }
+
+  private notifyIdle(): void {
+    const listeners = this.idleListeners;
+    this.idleListeners = [];
+    listeners.forEach((listener) => listener());
+  }
 }
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -241,7 +241,7 @@
     const { clock } = this.environment;
     const deadline = clock.elapsed() + this.settings.grace - graceReserve;
     this.isStopping = true;
-    this.logLifecycle('stopping');
+    this.logLifecycle('stopping', this.loads());
     this.callerServer.disableKeepAlive();
     this.publish();
     this.home.drain();
@@ -252,7 +252,7 @@
     }
     await Promise.race([drained, this.sleep(Math.max(0, deadline - clock.elapsed()))]);
     await Promise.race([this.registration.withdraw(), this.sleep(graceReserve / 2)]);
-    this.logLifecycle('stopped');
+    this.logLifecycle('stopped', this.loads());
     this.dispose();
   }
 
@@ -477,7 +477,12 @@
     };
   }
 
-  private logLifecycle(message: string): void {
+  /** Requests in flight of callers and at the local target. */
+  private loads(): Readonly<Record<string, number>> {
+    return { callersInFlight: this.callerServer.load, homeInFlight: this.home.load };
+  }
+
+  private logLifecycle(message: string, more: Readonly<Record<string, number>> = {}): void {
     const { id, service, dataCentre, callers, peer } = this.settings;
     this.environment.log.write({
       level: 'info',
@@ -491,6 +496,7 @@
         dataCentre,
         callers,
         peer,
+        ...more,
       },
     });
   }
