End all requests of a stopping daemon before the daemon ends

Callers saw their connection closed without an answer 5.6 s after SIGTERM. The dispatcher planned with the deadline of the caller and of the route, which may be longer than what the daemon has left to live: a request that looked for a slot, was queued at a home for up to its latency goal, or ran at a target that hung was cut when the daemon closed its sockets.

The stop tells the dispatcher when it ends. From then on that time bounds the deadline of each request, also of those that wait already: the wait for a slot, the timeout that homes and targets get, retries, and the final answer, which is 503 if no target has started the request and 504 otherwise. Between that answer and the end of the daemon 400 ms are left for sending it.

--- a/src/common/dispatch/Dispatcher.test.ts
+++ b/src/common/dispatch/Dispatcher.test.ts
@@ -32,8 +32,11 @@
 const region = brandAs<Region>('gam');
 const dataCentre = brandAs<DataCentre>('gam-a');
 
+/** Milliseconds after which a home refuses a queued request that it can't serve. */
+const slowRefusal = 900;
+
 type Behaviour =
-  'busy' | 'answers' | 'hangs' | 'breaks' | 'suspect' | 'full' | 'unreachable' | 'fails';
+  'queues' | 'busy' | 'answers' | 'hangs' | 'breaks' | 'suspect' | 'full' | 'unreachable' | 'fails';
 
 /** A simulated fleet that records the starts, cancellations and attempts of one request. */
 interface TestFleet {
@@ -55,11 +58,16 @@
 
 function wait(clock: VirtualClock, delay: number, signal: AbortSignal): Promise<void> {
   return new Promise((resolve, reject) => {
-    const timer = clock.after(delay, resolve);
-    signal.addEventListener('abort', () => {
+    const listening = new AbortController();
+    const timer = clock.after(delay, () => {
+      listening.abort();
+      resolve();
+    });
+    const cancel = (): void => {
       timer.dispose();
       reject(new OutcomeUnknownError('cancelled', { step: 'test' }));
-    });
+    };
+    signal.addEventListener('abort', cancel, { signal: listening.signal });
   });
 }
 
@@ -120,6 +128,12 @@
     if (behaviour === 'suspect' && !request.isForced) throw refuse('suspect', 0.7);
     if (behaviour === 'busy') throw refuse('queue-full', 0.1, 60);
     if (behaviour === 'full' && request.maxQueueWait === 0) throw refuse('queue-full', 0.1);
+    if (behaviour === 'queues') {
+      await wait(clock, Math.min(slowRefusal, request.maxQueueWait), signal).catch(() => {
+        throw refuse('cancelled', 0.1);
+      });
+      throw refuse('queue-full', 0.1);
+    }
     if (behaviour === 'unreachable') throw refuse('connect-failed', 0.1);
     request.onStart();
     starts.push(target);
@@ -345,6 +359,85 @@
     expect(fleet.cancelled).to.deep.equal(['a']);
   });
 
+  const stopCases: readonly {
+    readonly name: string;
+    readonly behaviours: Readonly<Record<string, Behaviour>>;
+    readonly route: TrafficRoute;
+    /** Milliseconds between the arrival and the stop; negative if the stop came first. */
+    readonly stopAfter: number;
+    readonly result: Result;
+  }[] = [
+    {
+      name: 'a bid that homes refuse one after the other',
+      behaviours: { a: 'queues', b: 'queues', c: 'queues', d: 'queues', e: 'queues' },
+      route: bid,
+      stopAfter: 500,
+      result: 'not run',
+    },
+    {
+      name: 'a bid that arrives while the daemon is stopping and gets no slot',
+      behaviours: { a: 'queues', b: 'queues', c: 'queues', d: 'queues', e: 'queues' },
+      route: bid,
+      stopAfter: -200,
+      result: 'not run',
+    },
+    {
+      name: 'a bid that runs at a target that hangs',
+      behaviours: { a: 'hangs' },
+      route: bid,
+      stopAfter: 500,
+      result: 'unknown',
+    },
+    {
+      name: 'a look-up whose targets hang',
+      behaviours: { a: 'hangs', b: 'hangs' },
+      route: lookup,
+      stopAfter: 500,
+      result: 'unknown',
+    },
+    {
+      name: 'a look-up that arrives while the daemon is stopping and hangs',
+      behaviours: { a: 'hangs', b: 'hangs' },
+      route: lookup,
+      stopAfter: -200,
+      result: 'unknown',
+    },
+  ];
+  stopCases.forEach(({ name, behaviours, route, stopAfter, result }) => {
+    it(`ends ${name} before the daemon ends, with a true outcome`, async () => {
+      const fleet = createFleet(behaviours);
+      const { clock, dispatcher } = fleet;
+      const endsAt = 2_000;
+      const stop = (): void => dispatcher.endBy(endsAt);
+      if (stopAfter < 0) {
+        stop();
+        await clock.advanceAsync(-stopAfter);
+      } else {
+        clock.after(stopAfter, stop);
+      }
+      let endedAt = Infinity;
+      const patient = { ...route, timeout: 10_000, goal: 8_000 };
+      const ended = dispatcher.dispatch(call(patient), new AbortController().signal).then(
+        (): Result => 'answered',
+        (error: unknown): Result => {
+          endedAt = clock.elapsed();
+          return error instanceof NotRunError ? 'not run' : 'unknown';
+        },
+      );
+      await clock.advanceAsync(10_000);
+      expect(await ended).to.equal(result);
+      expect(endedAt).to.be.at.most(endsAt);
+      const limits = fleet.requests.map(({ timeout }) => timeout);
+      if (stopAfter < 0) expect(Math.max(...limits)).to.be.at.most(endsAt);
+    });
+  });
+
+  it('does not shorten the wait of a request that ends before the daemon does', async () => {
+    const fleet = createFleet({ a: 'answers' });
+    fleet.dispatcher.endBy(5_000);
+    expect(await dispatchCall(fleet, bid)).to.equal('answered');
+  });
+
   it('fails at the timeout and not later', async () => {
     const fleet = createFleet({ a: 'hangs' });
     let end = 0;
--- a/src/common/dispatch/Dispatcher.ts
+++ b/src/common/dispatch/Dispatcher.ts
@@ -1,4 +1,5 @@
 import {
+  Emitter,
   NotRunError,
   OutcomeUnknownError,
   FleetError,
@@ -91,7 +92,8 @@
 /** State of one request and its attempts. */
 interface DispatchState {
   readonly call: IncomingCall;
-  readonly deadline: number;
+  /** Time at which the caller or the route gives up. */
+  readonly timeoutAt: number;
   readonly running: Set<Attempt>;
   /** Number of requests per target. */
   readonly askCounts: Map<TargetId, number>;
@@ -107,6 +109,13 @@
   failure: AttemptResult | undefined;
 }
 
+/** What a request waits for: the end of an attempt, a time, or an earlier deadline because the daemon stops. */
+type DispatchEvent =
+  | 'review'
+  | 'deadline'
+  | 'stopping'
+  | { readonly attempt: Attempt; readonly result: AttemptResult };
+
 function isSuccess(result: AttemptResult): boolean {
   return result.type === 'answer' && result.answer.status < firstServerError;
 }
@@ -116,8 +125,19 @@
  * an idempotent request at a second target when the first one fails or is slow.
  */
 export class Dispatcher {
+  /** Time at which this daemon stops waiting for answers. */
+  private endsAt = Infinity;
+
+  private readonly endEmitter = new Emitter<void>();
+
   public constructor(private readonly settings: DispatcherSettings) {}
 
+  /** Ends each request, present or future, at `time` of the clock at the latest, since the daemon stops then. */
+  public endBy(time: number): void {
+    this.endsAt = time;
+    this.endEmitter.fire();
+  }
+
   /**
    * Returns the answer. Throws `NotRunError` if no target has run the request, `DeadlineError` after the
    * timeout, otherwise `OutcomeUnknownError`.
@@ -126,7 +146,7 @@
     const { clock } = this.settings;
     const state: DispatchState = {
       call,
-      deadline: clock.elapsed() + call.timeout,
+      timeoutAt: clock.elapsed() + call.timeout,
       running: new Set(),
       askCounts: new Map(),
       excluded: new Set(),
@@ -155,7 +175,7 @@
       if (event === 'deadline') throw this.createTimeoutError(state);
       if (event === 'review') {
         if (this.hedgeWait(state) <= 0) this.hedge(state);
-      } else {
+      } else if (event !== 'stopping') {
         state.running.delete(event.attempt);
         const { result } = event;
         if (isSuccess(result)) return (result as { answer: TargetAnswer }).answer;
@@ -167,19 +187,20 @@
     }
   }
 
-  /** Waits for the end of an attempt, the next check for a hedge, or the deadline. */
-  private async nextEvent(
-    state: DispatchState,
-  ): Promise<'review' | 'deadline' | { attempt: Attempt; result: AttemptResult }> {
+  /** Waits for the end of an attempt, the next check for a hedge, the deadline, or a stop. */
+  private async nextEvent(state: DispatchState): Promise<DispatchEvent> {
     const { clock } = this.settings;
     const timers: Disposable[] = [];
     const timeout = (delay: number, event: 'review' | 'deadline') =>
       new Promise<typeof event>((resolve) => {
         timers.push(clock.after(delay, () => resolve(event)));
       });
-    const waits: Promise<'review' | 'deadline' | { attempt: Attempt; result: AttemptResult }>[] = [
+    const waits: Promise<DispatchEvent>[] = [
       ...[...state.running].map(async (attempt) => ({ attempt, result: await attempt.result })),
-      timeout(Math.max(0, state.deadline - clock.elapsed() - answerMargin), 'deadline'),
+      timeout(Math.max(0, this.remaining(state) - answerMargin), 'deadline'),
+      new Promise<'stopping'>((resolve) => {
+        timers.push(this.endEmitter.event(() => resolve('stopping')));
+      }),
     ];
     if (this.canHedge(state)) {
       waits.push(
@@ -193,6 +214,11 @@
     }
   }
 
+  /** Milliseconds until the caller or the route gives up, or this daemon stops. */
+  private remaining({ timeoutAt }: DispatchState): number {
+    return Math.min(timeoutAt, this.endsAt) - this.settings.clock.elapsed();
+  }
+
   private canHedge({ call, running, sent }: DispatchState): boolean {
     return call.route.isIdempotent && sent < call.route.maxAttempts && running.size === 1;
   }
@@ -218,9 +244,9 @@
     this.startAttempt(state);
   }
 
-  private canRetry({ call, deadline, sent }: DispatchState, result: AttemptResult): boolean {
-    const remaining = deadline - this.settings.clock.elapsed();
-    if (remaining < minAttemptTime || sent >= call.route.maxAttempts) return false;
+  private canRetry(state: DispatchState, result: AttemptResult): boolean {
+    const { call, sent } = state;
+    if (this.remaining(state) < minAttemptTime || sent >= call.route.maxAttempts) return false;
     if (result.type === 'refused') return result.error.details.hasReachedTarget === true;
     return call.route.isIdempotent;
   }
@@ -242,10 +268,16 @@
   }
 
   private createTimeoutError(state: DispatchState): FleetError {
-    const origin = { step: 'dispatch.deadline' };
-    if (!this.mayRun(state))
-      return new NotRunError('deadline', 'no target had a free slot before the deadline', origin);
-    return new DeadlineError('no answer within the timeout', origin);
+    const isStopping = this.endsAt < state.timeoutAt;
+    const origin = { step: isStopping ? 'dispatch.stop' : 'dispatch.deadline' };
+    if (!this.mayRun(state)) {
+      const message = `no target had a free slot before ${isStopping ? 'this daemon stopped' : 'the deadline'}`;
+      return new NotRunError('deadline', message, origin);
+    }
+    const message = isStopping
+      ? 'no answer before this daemon stopped'
+      : 'no answer within the timeout';
+    return new DeadlineError(message, origin);
   }
 
   private mayRun({ mayHaveRun, running }: DispatchState): boolean {
@@ -294,7 +326,7 @@
   private choose(
     state: DispatchState,
   ): { ranked: RankedCandidate; maxQueueWait: number; isForced: boolean } | HomeRefusalError {
-    const { directory, placement, statistics, clock } = this.settings;
+    const { directory, placement, statistics } = this.settings;
     const { call } = state;
     const { latencies, kilobytes } = statistics.get(call.route);
     const candidates = directory.candidates(call.service);
@@ -308,7 +340,7 @@
     const eligible = candidates.filter(({ target }) => !state.excluded.has(target));
     const [best] = placement.rank(eligible, context);
     if (best === undefined) return this.createNoTargetError(state);
-    const remaining = state.deadline - clock.elapsed() - answerMargin;
+    const remaining = this.remaining(state) - answerMargin;
     // A request that would be answered late is refused with a retry time, which keeps the queue short for the others.
     const maxQueueWait = Math.max(0, Math.min(remaining, call.route.goal) - latencies.median);
     if (best.wait > maxQueueWait) {
@@ -342,7 +374,7 @@
         call,
         target: candidate.target,
         incarnation: candidate.incarnation,
-        timeout: state.deadline - startedAt - answerMargin,
+        timeout: this.remaining(state) - answerMargin,
         maxQueueWait: choice.maxQueueWait,
         isForced: choice.isForced,
         isTrial: choice.ranked.isTrial,
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -68,6 +68,8 @@
 const callerDrainTime = 2_700;
 /** Milliseconds reserved at the end of the grace period. */
 const graceReserve = 400;
+/** Milliseconds before that in which the last responses are sent. */
+const responseReserve = 400;
 
 /** Store key and decoder of the traffic configuration. */
 export interface ConfigurationSource {
@@ -109,6 +111,8 @@
 
   private readonly homeServer: HomeServer;
 
+  private readonly dispatcher: Dispatcher;
+
   private readonly callerServer: CallerServer;
 
   private readonly peers: PeerHttpClient;
@@ -196,6 +200,7 @@
       }),
     );
     this.metrics = new SidecarMetrics(() => this.gauges());
+    this.dispatcher = this.createDispatcher();
     this.callerServer = this.disposables.add(this.createCallerServer());
     this.subscribe();
   }
@@ -243,6 +248,7 @@
     this.isStopping = true;
     this.logLifecycle('stopping', this.loads());
     this.callerServer.disableKeepAlive();
+    this.dispatcher.endBy(deadline - responseReserve);
     this.publish();
     this.home.drain();
     await this.sleep(callerDrainTime);
@@ -286,14 +292,14 @@
     );
   }
 
-  private createCallerServer(): CallerServer {
-    const { clock, random, log, names } = this.environment;
+  private createDispatcher(): Dispatcher {
+    const { clock, random, log } = this.environment;
     const { settings, directory, traffic } = this;
     const routeStatistics = new RouteStatistics();
     traffic.onChange(({ routes }) =>
       routeStatistics.retain(new Set(routes.map(({ name }) => name))),
     );
-    const dispatcher = new Dispatcher({
+    return new Dispatcher({
       clock,
       directory,
       placement: new Placement(settings, random),
@@ -302,6 +308,11 @@
       version: () => traffic.version,
       log,
     });
+  }
+
+  private createCallerServer(): CallerServer {
+    const { clock, random, log, names } = this.environment;
+    const { settings, traffic, dispatcher } = this;
     return new CallerServer({
       names,
       service: settings.service,
