Close the connection after a response that was pending when the stop began

A request that had come before SIGTERM got its response without connection: close, so its caller kept the connection and could send the next request on it just as the stopping daemon closed its idle connections. The header is now set on all responses that have not started when keep-alive ends. The test failed before: the connection stayed with the caller.

--- a/src/sidecar/CallerServer.test.ts
+++ b/src/sidecar/CallerServer.test.ts
@@ -1,4 +1,4 @@
-import { request as startRequest } from 'node:http';
+import { Agent, request as startRequest } from 'node:http';
 import { text } from 'node:stream/consumers';
 import { expect } from 'chai';
 import { brandAs, createRandom, type ServiceName } from '../api/index.js';
@@ -76,11 +76,11 @@
   }
 
   /** Sends a request; resolves to its body, or to how it ended without one. */
-  public send(id: string): Promise<string> {
+  public send(id: string, agent: Agent | false = false): Promise<string> {
     return new Promise((resolve) => {
       const headers = { host, id };
       const options = {
-        agent: false,
+        agent,
         host: '127.0.0.1',
         port: this.port,
         path: '/lots/1',
@@ -108,6 +108,26 @@
     expect(line?.fields).to.include({ request: 'r-1', route: 'lots', phase: 'dispatch' });
   });
 
+  it('closes the connection after a response that was pending at the stop, so that no next request crosses the close', async () => {
+    let respond = (): void => {};
+    const fixture = new Fixture(
+      () =>
+        new Promise((resolve) => {
+          respond = () => resolve({ status: 200, headers: [], body: Buffer.from('good') });
+        }),
+    );
+    await fixture.listen();
+    const agent = new Agent({ keepAlive: true });
+    const arrived = fixture.arrival();
+    const result = fixture.send('r-1', agent);
+    await arrived;
+    fixture.server.disableKeepAlive();
+    respond();
+    expect(await result).to.equal('good');
+    expect(Object.keys(agent.freeSockets)).to.have.length(0);
+    fixture.server.dispose();
+  });
+
   it('logs no unanswered request after a complete response', async () => {
     const fixture = new Fixture(async () => ({
       status: 200,
--- a/src/sidecar/CallerServer.ts
+++ b/src/sidecar/CallerServer.ts
@@ -120,6 +120,9 @@
   /** Closes each connection after its next response. */
   public disableKeepAlive(): void {
     this.isStopping = true;
+    this.openRequests.forEach((_, response) => {
+      if (!response.headersSent) response.setHeader('connection', 'close');
+    });
   }
 
   /** Stops accepting connections; resolves when every request in flight has been answered. */
