Keep a repeated stop signal from ending a process that is shutting down

Cause: both programs listened for SIGTERM and SIGINT with `process.once`, so the first signal started the graceful shutdown and removed the listener. A second signal of the same name then had its default action, which ends the process and closes the connections of all callers whose requests are in flight. limpettrackd had no listener for SIGHUP at all, with the same result.

Evidence: `platform/main.test.ts` and `test/signals.test.ts` run the programs as processes with one request held at its target. On the code before, all five cases (SIGTERM twice, SIGINT twice, SIGTERM then SIGHUP for limpettrackd) fail with "SocketError: other side closed" in place of the answer; now they get 200 and the process exits with code 0.

Change: `SignalReceiver` listens until it is disposed, and both programs use it. limpettrackd, which does not reload its settings, takes SIGHUP as a stop signal, which ended it before as well. A further signal does not shorten the shutdown; SIGKILL and SIGQUIT still end the process. `ChildProcess.waitFor` reports a process that a signal has ended, where it waited for output without end.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -5,19 +5,21 @@
 import { badSettingsExitCode } from '../common/settings/index.js';
 import { Daemon } from './Daemon.js';
 import { readSettings } from './Settings.js';
+import { SignalReceiver } from '../node/SignalReceiver.js';
 import { SystemClock } from '../node/SystemClock.js';
 import './plugins.js';
 
 const usageExitCode = 64;
 
-/** Runs a daemon until SIGTERM or SIGINT, or checks its settings. */
+/** Runs a daemon until SIGTERM, SIGINT or SIGHUP, or checks its settings. */
 class DaemonCommand extends Command {
   public static override readonly paths = [Command.Default];
 
   public static override readonly usage = Command.Usage({
     description: 'Runs a limpettrack daemon.',
     details:
-      'SIGTERM is a graceful shutdown. Exit codes: 0 stopped, 64 wrong arguments, 78 wrong settings.',
+      'SIGTERM, SIGINT and SIGHUP start a graceful shutdown; further ones do not shorten it. ' +
+      'Exit codes: 0 stopped, 64 wrong arguments, 78 wrong settings.',
     examples: [
       ['Run', '$0 --settings daemon.ini'],
       ['Check a file', '$0 --check daemon.ini'],
@@ -49,12 +51,9 @@
       sink: logSinks.get(logSink)(logLevel),
       random: createRandom(Date.now() ^ process.pid),
     });
-    const stopped = new Promise<void>((resolve) => {
-      process.once('SIGTERM', resolve);
-      process.once('SIGINT', resolve);
-    });
+    const stop = new SignalReceiver(process, ['SIGTERM', 'SIGINT', 'SIGHUP']);
     await daemon.start();
-    await stopped;
+    await stop.received;
     await daemon.stop();
     return 0;
   }
--- a/src/demo/ChildProcess.ts
+++ b/src/demo/ChildProcess.ts
@@ -44,8 +44,10 @@
     for (;;) {
       const match = this.output.match(pattern);
       if (match !== null) return match;
-      if (this.child.exitCode !== null) {
-        throw new FleetError(`process exited with code ${this.child.exitCode}: ${this.output}`, {
+      const { exitCode, signalCode } = this.child;
+      if (exitCode !== null || signalCode !== null) {
+        const cause = signalCode === null ? `with code ${exitCode}` : `by ${signalCode}`;
+        throw new FleetError(`process exited ${cause}: ${this.output}`, {
           step: 'demo.start',
           peer: this.name,
         });
