--- a/src/sidecar/Settings.ts
+++ b/src/sidecar/Settings.ts
@@ -1,4 +1,3 @@
-import { readFileSync } from 'node:fs';
 import { map, type Either } from 'fp-ts/lib/Either.js';
 import {
   brandAs,
@@ -122,8 +121,3 @@
     }),
   )(settings);
 }
-
-/** Reads a settings file; throws the file system error if it cannot be read. */
-export function readSidecarSettings(file: string): Either<InvalidInputError, SidecarSettings> {
-  return parseSidecarSettings(file, readFileSync(file, 'utf8'));
-}
--- a/src/sidecar/SettingsWatch.test.ts
+++ b/src/sidecar/SettingsWatch.test.ts
@@ -30,6 +30,7 @@
   const file = { text: content(1) };
   const watch = new SettingsWatch(
     'test.ini',
+    content(1),
     clock,
     log,
     ({ retrySlack }) => seen.push(retrySlack),
--- a/src/sidecar/SettingsWatch.ts
+++ b/src/sidecar/SettingsWatch.ts
@@ -8,19 +8,17 @@
 
 /** Watches the settings file and reports each valid change. */
 export class SettingsWatch implements Disposable {
-  private content: string;
-
   private timer: Disposable | undefined;
 
+  /** `content` is that of the settings in force, so that a change during the start is found. */
   public constructor(
     private readonly file: string,
+    private content: string,
     private readonly clock: Clock,
     private readonly log: LogSink,
     private readonly onChange: (settings: SidecarSettings) => void,
     private readonly read: (file: string) => string = (path) => readFileSync(path, 'utf8'),
-  ) {
-    this.content = read(file);
-  }
+  ) {}
 
   /** Starts checking the file periodically. */
   public start(): void {
