Announce the close of a connection to callers whose requests are in flight

Cause: a stopping limpettrackd said `connection: close` only in answers to requests that came after the stop had begun. The answer to a request in flight kept its connection open, and the next request of its caller could meet the close.

Evidence: `src/daemon/CallerServer.test.ts` takes a request, announces the stop and answers; on the code before, the answer has no such header and the test fails.

Change: the server keeps the responses in flight and sets the header on those whose head is not sent.

--- a/src/daemon/CallerServer.ts
+++ b/src/daemon/CallerServer.ts
@@ -99,6 +99,9 @@
 export class CallerServer implements Disposable {
   private readonly server: Server;
 
+  /** Responses to requests in flight. */
+  private readonly responses = new Set<ServerResponse>();
+
   private isDraining = false;
 
   public constructor(private readonly settings: CallerServerSettings) {
@@ -124,9 +127,12 @@
     return listen(this.server, address);
   }
 
-  /** Fails readiness and closes each connection after its next answer. */
+  /** Fails readiness and closes each connection after its next answer, including those to requests in flight. */
   public announceStop(): void {
     this.isDraining = true;
+    this.responses.forEach((response) => {
+      if (!response.headersSent) response.setHeader('connection', 'close');
+    });
   }
 
   /** Stops accepting and resolves when every request in flight has been answered. */
@@ -145,6 +151,8 @@
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.responses.add(response);
+    response.once('close', () => this.responses.delete(response));
     if (this.isDraining) response.setHeader('connection', 'close');
     const headers = pairHeaders(request.rawHeaders);
     const checked = checkRequest(request, headers);
