Drain callers by their requests in flight, not by their open connections

Cause: the drain of limpettrackd waited until every connection was closed. `Server.close` of node:http also stops the check of the headers timeout, so a connection that had sent nothing, or a part of a head, held the drain without bound: the key ranges were not released, calls of peers not finished, and SIGKILL cut what was still running. The same call closes idle connections at once, since Node.js 19, so that the delay meant for requests already on their way had no effect: such a request lost its connection without an answer.

Evidence: in `src/daemon/CallerServer.test.ts`, on the code before, the two drains with such a connection had not ended when the test timed out after 75 s, and the request sent just after the drain began got no answer.

Change: the drain closes only the listening socket, keeps connections for 2 s unless all of them close sooner, waits for the requests in flight, and then closes the rest. A caller that never reads its answer still holds it.

--- a/src/daemon/CallerServer.test.ts
+++ b/src/daemon/CallerServer.test.ts
@@ -15,6 +15,8 @@
 import type { ForwardAnswer } from './Types.js';
 
 const timeout = 5_000;
+/** Step of the virtual clock while a test waits for the sockets. */
+const clockStep = 100;
 
 const route: RouteDocument = {
   name: 'lots',
@@ -32,11 +34,14 @@
 class Connection {
   public received = '';
 
+  public readonly closed: Promise<unknown>;
+
   private constructor(private readonly socket: Socket) {
     socket.on('data', (chunk) => {
       this.received += chunk.toString();
     });
     socket.on('error', () => {});
+    this.closed = once(socket, 'close');
   }
 
   public static async open(port: number): Promise<Connection> {
@@ -59,14 +64,16 @@
 }
 
 describe('CallerServer', () => {
+  let clock: VirtualClock;
   let server: CallerServer;
   let connection: Connection;
   let forward: () => Promise<ForwardAnswer>;
 
   beforeEach(async () => {
+    clock = new VirtualClock();
     forward = () => Promise.resolve(createAnswer());
     server = new CallerServer({
-      clock: new VirtualClock(),
+      clock,
       log: new MemoryLog(),
       routes: () => new RouteTable([route]),
       forwarder: { forward: () => forward() },
@@ -86,6 +93,43 @@
     server.dispose();
   });
 
+  /** Advances the clock until the promise is settled; the sockets progress between the steps. */
+  async function advanceUntil(promise: Promise<unknown>): Promise<void> {
+    let isSettled = false;
+    const settle = (): void => {
+      isSettled = true;
+    };
+    promise.then(settle, settle);
+    while (!isSettled) {
+      clock.advance(clockStep);
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+  }
+
+  const incompleteHeads = [
+    { name: 'nothing', text: '' },
+    { name: 'a part of a head', text: 'GET /lots/1 HTTP/1.1\r\nHost: a' },
+  ];
+  incompleteHeads.forEach(({ name, text }) => {
+    it(`completes a drain while a caller that has sent ${name} keeps its connection open`, async () => {
+      connection.write(text);
+      await advanceUntil(server.drain());
+      await connection.closed;
+    });
+  });
+
+  it('answers a request on a kept connection that arrives just after the drain began', async () => {
+    connection.write('GET /lots/1 HTTP/1.1\r\nHost: a\r\n\r\n');
+    await connection.waitFor('sold');
+    const drained = server.drain();
+    connection.write('GET /lots/2 HTTP/1.1\r\nHost: a\r\n\r\n');
+    await connection.closed;
+    expect(connection.received).to.match(/sold.*^connection: close\r\n.*sold$/ims);
+    await advanceUntil(drained);
+  });
+
   it('closes the connection with the answer to a request that was in flight when the stop was announced', async () => {
     let answer = (_answer: ForwardAnswer): void => {};
     const forwarded = new Promise<void>((resolve) => {
--- a/src/daemon/CallerServer.ts
+++ b/src/daemon/CallerServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import { pipeline } from 'node:stream/promises';
 import type { Readable } from 'node:stream';
 import { once } from 'node:events';
@@ -38,8 +39,10 @@
 const headersTimeoutMs = 10_000;
 /** Idle time after which a connection is closed. */
 const keepAliveTimeoutMs = 15_000;
-/** Interval at which a stopping daemon closes idle connections; the delay lets late requests be served. */
+/** Time for which a stopping daemon keeps idle connections, so that requests already on their way are served. */
 const idleCloseDelayMs = 2_000;
+/** Interval at which a drain checks for requests in flight. */
+const drainPollIntervalMs = 50;
 const accountHeader = 'limpettrack-account';
 const keyHeader = 'idempotency-key';
 const internalPrefix = '/.limpettrack/';
@@ -139,10 +142,12 @@
   public async drain(): Promise<void> {
     this.announceStop();
     const closed = once(this.server, 'close');
-    this.server.close();
-    const timer = setInterval(() => this.server.closeIdleConnections(), idleCloseDelayMs);
-    await closed;
-    clearInterval(timer);
+    // Server.close of node:http would also close the idle connections at once.
+    NetServer.prototype.close.call(this.server);
+    await Promise.race([closed, this.sleep(idleCloseDelayMs)]);
+    while (this.responses.size > 0) await this.sleep(drainPollIntervalMs);
+    // What is left has no complete request, and its caller may keep it open without end.
+    this.server.closeAllConnections();
   }
 
   public dispose(): void {
@@ -150,6 +155,12 @@
     this.server.closeAllConnections();
   }
 
+  private sleep(delay: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.settings.clock.after(delay, resolve);
+    });
+  }
+
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.responses.add(response);
     response.once('close', () => this.responses.delete(response));
