Refuse a request whose body does not arrive within its timeout

Cause: limpettrackd waited without bound for the body of a request that it buffers, as the timeout began with the first attempt to forward it. A caller that stops in the middle of a body therefore held the drain, and with it the release of the key ranges, until the process was killed.

Change: the wait for the body is limited by the timeout of the request, also without a stop; the request is then refused as not run, with 503 and reason `deadline`. The time for the body is still not taken off the time to forward it.

--- a/src/daemon/CallerServer.test.ts
+++ b/src/daemon/CallerServer.test.ts
@@ -68,10 +68,12 @@
   let server: CallerServer;
   let connection: Connection;
   let forward: () => Promise<ForwardAnswer>;
+  let checkLimits: () => Promise<void>;
 
   beforeEach(async () => {
     clock = new VirtualClock();
     forward = () => Promise.resolve(createAnswer());
+    checkLimits = () => Promise.resolve();
     server = new CallerServer({
       clock,
       log: new MemoryLog(),
@@ -79,7 +81,7 @@
       forwarder: { forward: () => forward() },
       runOperation: () => forward(),
       internal: () => Promise.resolve(false),
-      checkLimits: () => Promise.resolve(),
+      checkLimits: () => checkLimits(),
       checkQuarantine: () => {},
       timeoutOf: () => timeout,
       createId: () => brandAs<RequestId>('r1'),
@@ -120,6 +122,17 @@
     });
   });
 
+  it('refuses a request whose body does not arrive within its timeout, so that it does not hold a drain', async () => {
+    const started = new Promise<void>((resolve) => {
+      checkLimits = () => Promise.resolve(resolve());
+    });
+    connection.write('POST /lots/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nfi');
+    await started;
+    await advanceUntil(server.drain());
+    await connection.closed;
+    expect(connection.received).to.match(/^HTTP\/1\.1 503 .*^limpettrack-outcome: not-run\r$/ims);
+  });
+
   it('answers a request on a kept connection that arrives just after the drain began', async () => {
     connection.write('GET /lots/1 HTTP/1.1\r\nHost: a\r\n\r\n');
     await connection.waitFor('sold');
--- a/src/daemon/CallerServer.ts
+++ b/src/daemon/CallerServer.ts
@@ -271,7 +271,7 @@
     const mustBuffer =
       length === undefined || !context.isIdempotent || length <= maxBufferedBodyBytes;
     if (!mustBuffer) return { ...create(), body: request };
-    const body = await bufferBody(request, maxBufferedBodyBytes);
+    const body = await this.receiveBody(request, context.timeout);
     const withoutLength = forwarded.filter(([name]) => name.toLowerCase() !== 'content-length');
     return {
       ...create(body),
@@ -280,6 +280,22 @@
     };
   }
 
+  /** Buffers the body; throws `NotRunError` if it is not complete within `timeout` milliseconds. */
+  private async receiveBody(request: IncomingMessage, timeout: number): Promise<Buffer> {
+    let timer: Disposable | undefined;
+    const isLate = new Promise<never>((_resolve, reject) => {
+      timer = this.settings.clock.after(timeout, () => {
+        const message = 'the body did not arrive within the timeout';
+        reject(new NotRunError('deadline', message, { step: 'entry.body' }));
+      });
+    });
+    try {
+      return await Promise.race([bufferBody(request, maxBufferedBodyBytes), isLate]);
+    } finally {
+      timer?.dispose();
+    }
+  }
+
   private async answer(
     response: ServerResponse,
     routed: RoutedRequest,
