Keep a repeated stop signal from ending a target that is shutting down

Cause: like the daemons before, `limpettrack-target` listened for SIGTERM and SIGINT once. On Ctrl-C in the demo it gets SIGINT from the terminal and SIGTERM from the demo; a repeated signal of one name ended it while it ran a request.

Evidence: the test in `test/signals.test.ts` sends SIGINT twice and then SIGTERM during a request; on the code before, it fails with "SocketError: other side closed" in place of the answer.

Change: it uses `SignalReceiver`.

--- a/src/target/main.ts
+++ b/src/target/main.ts
@@ -1,13 +1,14 @@
 #!/usr/bin/env node
 import { Builtins, Cli, Command, Option } from 'clipanion';
 import { brandAs, createIncarnation, type ServiceName, type TargetId } from '../api/index.js';
+import { SignalReceiver } from '../node/SignalReceiver.js';
 import { Announcer } from './Announcer.js';
 import { TargetServer } from './TargetServer.js';
 
 /** Time between announcing the drain and stopping, so that the home and its peers stop sending requests. */
 const drainNoticeMs = 3_000;
 
-/** Runs one fake target until SIGTERM. */
+/** Runs one fake target until SIGTERM or SIGINT. */
 class TargetCommand extends Command {
   public static override readonly usage = Command.Usage({
     description: 'Fake target with fault injection, for examples, tests and benchmarks.',
@@ -58,10 +59,7 @@
     });
     await announcer.start();
     this.context.stdout.write(`${JSON.stringify({ id: this.id, address: `${host}:${port}` })}\n`);
-    await new Promise<void>((resolve) => {
-      process.once('SIGTERM', resolve);
-      process.once('SIGINT', resolve);
-    });
+    await new SignalReceiver(process, ['SIGTERM', 'SIGINT']).received;
     await announcer.drain();
     await new Promise((resolve) => {
       setTimeout(resolve, drainNoticeMs);
--- a/test/signals.test.ts
+++ b/test/signals.test.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path';
 import { expect } from 'chai';
 import { request } from 'undici';
+import { binaryPath, ChildProcess } from '../src/demo/ChildProcess.js';
 import { LocalFleet, type LocalDaemon } from '../src/demo/LocalFleet.js';
 import type { Deployment } from '../src/demo/Types.js';
 import { listen } from '../src/node/listen.js';
@@ -109,3 +110,33 @@
     });
   });
 });
+
+describe('signals during the shutdown of a target', () => {
+  it('answers the request in flight when further signals follow the first, as on Ctrl-C in the demo', async () => {
+    const target = new ChildProcess('t1', binaryPath('target'), [
+      '--id',
+      't1',
+      '--service',
+      'lots',
+    ]);
+    try {
+      const [, address = ''] = await target.waitFor(/"address":"([^"]+)"/);
+      const reply = request(`http://${address}/lots/1?size=4&work=1000`)
+        .then(async ({ statusCode, body }) => `${statusCode} ${await body.text()}`)
+        .catch(String);
+      const count = async (): Promise<unknown> =>
+        (await request(`http://${address}/.count`)).body.json();
+      await waitUntil('the target has the request', async () => (await count()) === 1);
+      const signals: readonly NodeJS.Signals[] = ['SIGINT', 'SIGINT', 'SIGTERM'];
+      for (const signal of signals) {
+        target.signal(signal);
+        // Its answer comes after the handlers of the signal.
+        await count().catch(String);
+      }
+      expect(await reply).to.equal('200 /lot');
+      expect(await target.wait()).to.equal(0);
+    } finally {
+      target.dispose();
+    }
+  });
+});
