--- a/src/daemon/CallerServer.ts
+++ b/src/daemon/CallerServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import { pipeline } from 'node:stream/promises';
 import type { Readable } from 'node:stream';
 import { once } from 'node:events';
@@ -38,8 +39,10 @@
 const headersTimeoutMs = 10_000;
 /** Idle time after which a connection is closed. */
 const keepAliveTimeoutMs = 15_000;
-/** Interval at which a stopping daemon closes idle connections; the delay lets late requests be served. */
+/** Time for which a stopping daemon keeps idle connections, so that requests already on their way are served. */
 const idleCloseDelayMs = 2_000;
+/** Interval at which a drain checks for requests in flight. */
+const drainPollIntervalMs = 50;
 const accountHeader = 'limpettrack-account';
 const keyHeader = 'idempotency-key';
 const internalPrefix = '/.limpettrack/';
@@ -99,6 +102,9 @@
 export class CallerServer implements Disposable {
   private readonly server: Server;
 
+  /** Responses to requests in flight. */
+  private readonly responses = new Set<ServerResponse>();
+
   private isDraining = false;
 
   public constructor(private readonly settings: CallerServerSettings) {
@@ -124,19 +130,24 @@
     return listen(this.server, address);
   }
 
-  /** Fails readiness and closes each connection after its next answer. */
+  /** Fails readiness and closes each connection after its next answer, including those to requests in flight. */
   public announceStop(): void {
     this.isDraining = true;
+    this.responses.forEach((response) => {
+      if (!response.headersSent) response.setHeader('connection', 'close');
+    });
   }
 
   /** Stops accepting and resolves when every request in flight has been answered. */
   public async drain(): Promise<void> {
     this.announceStop();
     const closed = once(this.server, 'close');
-    this.server.close();
-    const timer = setInterval(() => this.server.closeIdleConnections(), idleCloseDelayMs);
-    await closed;
-    clearInterval(timer);
+    // Server.close of node:http would also close the idle connections at once.
+    NetServer.prototype.close.call(this.server);
+    await Promise.race([closed, this.sleep(idleCloseDelayMs)]);
+    while (this.responses.size > 0) await this.sleep(drainPollIntervalMs);
+    // What is left has no complete request, and its caller may keep it open without end.
+    this.server.closeAllConnections();
   }
 
   public dispose(): void {
@@ -144,7 +155,15 @@
     this.server.closeAllConnections();
   }
 
+  private sleep(delay: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.settings.clock.after(delay, resolve);
+    });
+  }
+
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.responses.add(response);
+    response.once('close', () => this.responses.delete(response));
     if (this.isDraining) response.setHeader('connection', 'close');
     const headers = pairHeaders(request.rawHeaders);
     const checked = checkRequest(request, headers);
@@ -252,7 +271,7 @@
     const mustBuffer =
       length === undefined || !context.isIdempotent || length <= maxBufferedBodyBytes;
     if (!mustBuffer) return { ...create(), body: request };
-    const body = await bufferBody(request, maxBufferedBodyBytes);
+    const body = await this.receiveBody(request, context.timeout);
     const withoutLength = forwarded.filter(([name]) => name.toLowerCase() !== 'content-length');
     return {
       ...create(body),
@@ -261,6 +280,22 @@
     };
   }
 
+  /** Buffers the body; throws `NotRunError` if it is not complete within `timeout` milliseconds. */
+  private async receiveBody(request: IncomingMessage, timeout: number): Promise<Buffer> {
+    let timer: Disposable | undefined;
+    const isLate = new Promise<never>((_resolve, reject) => {
+      timer = this.settings.clock.after(timeout, () => {
+        const message = 'the body did not arrive within the timeout';
+        reject(new NotRunError('deadline', message, { step: 'entry.body' }));
+      });
+    });
+    try {
+      return await Promise.race([bufferBody(request, maxBufferedBodyBytes), isLate]);
+    } finally {
+      timer?.dispose();
+    }
+  }
+
   private async answer(
     response: ServerResponse,
     routed: RoutedRequest,
