Remove the listeners of a large body after each wait for its reader

Cause: streamRest waited for `drain` or `close` of the body and left the listener of the event that did not fire, so that each wait added one `close` listener for the lifetime of the body; a body without end grew this list without limit. Change: both listeners are removed after each wait.

--- a/src/sidecar/bufferSmallBody.ts
+++ b/src/sidecar/bufferSmallBody.ts
@@ -1,4 +1,4 @@
-import { PassThrough, type Readable } from 'node:stream';
+import { PassThrough, type Readable, type Writable } from 'node:stream';
 import { FleetError } from '../api/index.js';
 
 /** Bytes up to which a body is buffered until it is complete, so that a truncated one can be retried. */
@@ -8,6 +8,19 @@
   return new FleetError('the response was truncated', { step: 'answer.body' });
 }
 
+/** Resolves when a stream takes more data or is closed. */
+function waitForDrain(stream: Writable): Promise<void> {
+  return new Promise((resolve) => {
+    const finish = (): void => {
+      stream.off('drain', finish);
+      stream.off('close', finish);
+      resolve();
+    };
+    stream.on('drain', finish);
+    stream.on('close', finish);
+  });
+}
+
 function streamRest(
   buffered: readonly Buffer[],
   rest: AsyncIterator<unknown>,
@@ -21,10 +34,7 @@
       const { value, done } = await rest.next();
       if (done === true) break;
       if (!body.write(value)) {
-        await new Promise<void>((resolve) => {
-          body.once('drain', resolve);
-          body.once('close', resolve);
-        });
+        await waitForDrain(body);
       }
     }
     if (isComplete()) body.end();
