End a request whose connection closes without a response or an error

Cause: Node.js destroys a request that gets `101 Switching Protocols` with an `upgrade` header, without an `error` event. The clients for targets and peers waited for `response` or `error` only, while `close` had stopped the timeout, so that the request never ended and its slot at the target stayed taken. Change: `close` before a response fails the request with an unknown outcome.

--- a/src/sidecar/PeerHttpClient.ts
+++ b/src/sidecar/PeerHttpClient.ts
@@ -116,11 +116,18 @@
         this.markResponded(exchange, processingTimer);
         this.sendBody(exchange);
       });
-      request.on('error', (error) => {
+      const fail = (error: Error): void => {
         cleanUp();
         reject(this.classify(exchange, error, signal.aborted));
-      });
+      };
+      request.on('error', fail);
+      // A response that switches protocols closes the request without an error.
+      const failOnClose = (): void => {
+        fail(new Error('the request was closed without a response'));
+      };
+      request.once('close', failOnClose);
       request.on('response', (response) => {
+        request.off('close', failOnClose);
         this.markResponded(exchange, processingTimer);
         this.readResponse(exchange, response).then(resolve, reject).finally(cleanUp);
       });
--- a/src/sidecar/TargetHttpClient.ts
+++ b/src/sidecar/TargetHttpClient.ts
@@ -101,6 +101,10 @@
         }
       });
       request.on('error', (error) => reject(this.classify(exchange, error)));
+      // A response that switches protocols closes the request without an error.
+      request.once('close', () => {
+        reject(this.classify(exchange, new Error('the request was closed without a response')));
+      });
       if (signal.aborted) cancel();
       else request.end(body);
     });
