Close the connection of a refusal whose body does not end

Cause: the body of a response that is not needed was read with `resume()` and no limit, for refusals of a target (`not run`, 421) and of a peer, until the timeout of the request. Evidence: on the old code, the three tests of a refusal with a body without end ran into the timeout of mocha (22 s), as the connection stayed open. Change: one function, `skipBody`, reads a short body so that the connection can be reused, and destroys a longer one.

--- a/src/sidecar/PeerHttpClient.ts
+++ b/src/sidecar/PeerHttpClient.ts
@@ -16,6 +16,7 @@
 import { decodeRecord } from '../common/fleet/daemonRecords.js';
 import type { DaemonRecord } from '../common/fleet/Types.js';
 import { dropHopByHop, findHeader, pairHeaders } from '../daemon/Headers.js';
+import { skipBody } from '../daemon/streams.js';
 import { bufferSmallBody } from './bufferSmallBody.js';
 import {
   conditionHeader,
@@ -229,7 +230,7 @@
     if (refusal !== undefined || Number.isNaN(version)) {
       // Ends a request without its body, so that the connection can be reused.
       if (!exchange.hasSentBody) request.end();
-      response.resume();
+      skipBody(response);
       const retryAfter = Number(findHeader(pairs, retryAfterHeader) ?? 0) || undefined;
       const hasReachedTarget = findHeader(pairs, targetReachedHeader) !== undefined;
       const details = { condition, retryAfter, hasReachedTarget };
@@ -238,7 +239,7 @@
     }
     const headers = dropHopByHop(pairs).filter(([name]) => !internalHeaders.has(name));
     if (findHeader(pairs, outcomeUnknownHeader) !== undefined) {
-      response.resume();
+      skipBody(response);
       throw new OutcomeUnknownError('the target gave no usable response', origin);
     }
     try {
--- a/src/sidecar/TargetHttpClient.ts
+++ b/src/sidecar/TargetHttpClient.ts
@@ -8,7 +8,7 @@
 import { OutcomeUnknownError, type OutcomeKind } from '../api/index.js';
 import { HomeRefusalError, type HeaderPair } from '../common/dispatch/Types.js';
 import { dropHopByHop, findHeader, pairHeaders } from '../daemon/Headers.js';
-import { discard } from '../daemon/streams.js';
+import { discard, skipBody } from '../daemon/streams.js';
 import { TargetFailure } from '../daemon/TargetFailure.js';
 import { failOnReset } from './failOnReset.js';
 import { IdleCheckingAgent } from './IdleCheckingAgent.js';
@@ -172,7 +172,7 @@
     const headers = pairHeaders(response.rawHeaders);
     const status = response.statusCode ?? 0;
     if (findHeader(headers, names.notRun) !== undefined || status === misdirectedStatus) {
-      response.resume();
+      skipBody(response);
       throw this.createRefusal(status);
     }
     const problem = this.findProblem(homeRequest, status, headers);
--- a/src/sidecar/endlessResponses.test.ts
+++ b/src/sidecar/endlessResponses.test.ts
@@ -99,6 +99,24 @@
     piece: 'more',
     result: 'complete 200 good',
   },
+  {
+    name: 'a refusal with a body without a length',
+    start: () => 'HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\n\r\n',
+    piece: 'x',
+    result: 'not run: queue-full',
+  },
+  {
+    name: 'a refusal with a chunked body',
+    start: () => `HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\n${chunked}\r\n`,
+    piece: '5\r\nhello\r\n',
+    result: 'not run: queue-full',
+  },
+  {
+    name: 'a 421 response with a body without a length',
+    start: () => 'HTTP/1.1 421 Misdirected Request\r\n\r\n',
+    piece: 'x',
+    result: 'not run: queue-full',
+  },
   {
     name: 'a body of another request',
     start: () => 'HTTP/1.1 200 OK\r\nid: other\r\nsignature: s\r\n\r\n',
