Limit the bytes of a response that are neither its head nor its body

Cause: the HTTP parser of Node.js limits a header line, but not empty lines before a response, spaces before a header value, interim responses (100, 102) and leading zeros of a chunk size. A daemon read them as fast as the target or a peer sent them until the timeout of the request; interim responses took all processor time meanwhile. Evidence: on the old code the five tests of these cases failed, at the own daemon and at another one. Change: a request is destroyed when its connection has sent 64 KiB and 16 bytes per byte of the body more than that.

--- a/src/sidecar/PeerHttpClient.ts
+++ b/src/sidecar/PeerHttpClient.ts
@@ -18,6 +18,7 @@
 import { dropHopByHop, findHeader, pairHeaders } from '../daemon/Headers.js';
 import { skipBody } from '../daemon/streams.js';
 import { bufferSmallBody } from './bufferSmallBody.js';
+import { limitOverhead } from './limitOverhead.js';
 import {
   conditionHeader,
   createRequestMetadata,
@@ -168,6 +169,7 @@
       setHost: false,
     });
     request.setNoDelay(true);
+    limitOverhead(request);
     return { candidate, attempt, request, hasSentBody: false, hasResponded: false };
   }
 
--- a/src/sidecar/TargetHttpClient.ts
+++ b/src/sidecar/TargetHttpClient.ts
@@ -12,6 +12,7 @@
 import { TargetFailure } from '../daemon/TargetFailure.js';
 import { failOnReset } from './failOnReset.js';
 import { IdleCheckingAgent } from './IdleCheckingAgent.js';
+import { limitOverhead } from './limitOverhead.js';
 import type { HeaderNames, HomeRequest, StreamedResponse, TargetConnection } from './Types.js';
 
 /** Connect timeout in milliseconds on the same VM. */
@@ -88,6 +89,7 @@
       signal.removeEventListener('abort', cancel);
     });
     this.watchConnection(exchange);
+    limitOverhead(request);
     return new Promise((resolve, reject) => {
       request.once('response', (response) => {
         // The parser would take a reset for the end of a response without a length.
--- a/src/sidecar/endlessResponses.test.ts
+++ b/src/sidecar/endlessResponses.test.ts
@@ -61,20 +61,45 @@
 /** Responses of which it is clear before the timeout that they are none. */
 const invalidCases: readonly EndlessCase[] = [
   { name: 'garbage', start: () => '', piece: 'garbage ', result: 'failed' },
+  { name: 'empty lines', start: () => '', piece: '\r\n', result: 'failed' },
   { name: 'a reason phrase', start: () => 'HTTP/1.1 200 ', piece: 'O', result: 'failed' },
   { name: 'a header line', start: (request) => head(request, 'x: '), piece: 'a', result: 'failed' },
+  {
+    name: 'spaces before a header value',
+    start: (request) => `${head(request, '').slice(0, -2)}x:`,
+    piece: ' ',
+    result: 'failed',
+  },
   {
     name: 'header lines',
     start: (request) => head(request, '').slice(0, -2),
     piece: 'x: y\r\n',
     result: 'failed',
   },
+  {
+    name: '100 Continue',
+    start: () => '',
+    piece: 'HTTP/1.1 100 Continue\r\n\r\n',
+    result: 'failed',
+  },
+  {
+    name: '102 Processing',
+    start: () => '',
+    piece: 'HTTP/1.1 102 Processing\r\n\r\n',
+    result: 'failed',
+  },
   {
     name: 'bytes after 101 Switching Protocols',
     start: () => 'HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n',
     piece: 'x',
     result: 'failed',
   },
+  {
+    name: 'zeros of a chunk size',
+    start: (request) => head(request, chunked),
+    piece: '0',
+    result: 'failed',
+  },
   {
     name: 'digits of a chunk size',
     start: (request) => head(request, chunked),
