--- a/src/daemon/AdminServer.ts
+++ b/src/daemon/AdminServer.ts
@@ -40,6 +40,10 @@
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    // The server would otherwise read the rest of the body without limit.
+    response.once('finish', () => {
+      if (!request.complete) request.destroy();
+    });
     const url = new URL(request.url ?? '/', 'http://admin');
     const found = this.handlers.find(
       ({ method, prefix }) => method === request.method && url.pathname.startsWith(prefix),
--- a/src/daemon/CallerServer.ts
+++ b/src/daemon/CallerServer.ts
@@ -1,6 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { pipeline } from 'node:stream/promises';
-import type { Readable } from 'node:stream';
 import { once } from 'node:events';
 import * as E from 'fp-ts/lib/Either.js';
 import * as O from 'fp-ts/lib/Option.js';
@@ -32,6 +31,7 @@
 import { checkRequest, maxBufferedBodyBytes, type CheckedRequest } from './RequestCheck.js';
 import { createResumedBody } from './ResumedBody.js';
 import { sendFailure, sendText } from './Responses.js';
+import { readLimited } from './streams.js';
 import type { ForwardAnswer, HeaderPair } from './Types.js';
 
 const maxHeaderBytes = 16 * 1024;
@@ -84,17 +84,6 @@
   readonly onFinished: (request: FinishedRequest) => void;
 }
 
-async function bufferBody(stream: Readable, limit: number): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of stream) {
-    size += (chunk as Buffer).length;
-    if (size > limit) throw new RangeError(`body over ${limit} bytes`);
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks);
-}
-
 /** HTTP/1.1 server for callers. */
 export class CallerServer implements Disposable {
   private readonly server: Server;
@@ -252,7 +241,7 @@
     const mustBuffer =
       length === undefined || !context.isIdempotent || length <= maxBufferedBodyBytes;
     if (!mustBuffer) return { ...create(), body: request };
-    const body = await bufferBody(request, maxBufferedBodyBytes);
+    const body = await readLimited(request, maxBufferedBodyBytes);
     const withoutLength = forwarded.filter(([name]) => name.toLowerCase() !== 'content-length');
     return {
       ...create(body),
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -1,5 +1,4 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { json } from 'node:stream/consumers';
 import { isLeft } from 'fp-ts/lib/Either.js';
 import {
   brandAs,
@@ -39,6 +38,7 @@
 import { ObservedHome } from './ObservedHome.js';
 import { PeerConnections } from './PeerConnections.js';
 import { PeerServer } from './PeerServer.js';
+import { readLimited } from './streams.js';
 import { probeTarget } from './probeTarget.js';
 import { Quotas } from './Quotas.js';
 import { RemoteHome } from './RemoteHome.js';
@@ -48,6 +48,8 @@
 import type { Home, Identity } from './Types.js';
 
 const announcementPath = '/.limpettrack/targets/';
+/** Maximum bytes of an announcement. */
+const maxAnnouncementBytes = 16 * 1024;
 /** Longest wait for targets to move to another home; then their announcements here have expired. */
 const targetHandOverTimeoutMs = 4_000;
 /** Longest wait for journal writes and for releasing the key ranges during a stop. */
@@ -387,7 +389,8 @@
   }
 
   private async announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const announcement = (await json(request)) as TargetAnnouncement;
+    const content = await readLimited(request, maxAnnouncementBytes);
+    const announcement = JSON.parse(content.toString()) as TargetAnnouncement;
     if (!this.ejection.acceptsAnnouncement(announcement.id)) {
       sendText(response, 409, 'announce to another home: this one does not reach the target');
       return;
--- a/src/daemon/streams.ts
+++ b/src/daemon/streams.ts
@@ -19,3 +19,15 @@
   });
   body.resume();
 }
+
+/** Reads a whole body; throws `RangeError` and destroys the body if it has more bytes than the limit. */
+export async function readLimited(body: Readable, limit: number): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of body) {
+    size += (chunk as Buffer).length;
+    if (size > limit) throw new RangeError(`body over ${limit} bytes`);
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks);
+}
--- a/src/testing/EndlessSender.ts
+++ b/src/testing/EndlessSender.ts
@@ -3,9 +3,9 @@
 /** Bytes of one write; above the buffer limit of a socket, so that each write waits for the previous one. */
 const writeSize = 64 * 1024;
 /** Bytes after which a sender that is still read stops, so that a test of an unlimited reader ends. */
-const maxSentBytes = 48 * 1024 * 1024;
+const maxSentBytes = 128 * 1024 * 1024;
 /** Bytes that a limited reader takes at most; most of them are in socket buffers that were never read. */
-const maxTakenBytes = 16 * 1024 * 1024;
+const maxTakenBytes = 64 * 1024 * 1024;
 
 /** Writes bytes without end to a connection and counts those that the peer took. */
 export class EndlessSender {
