--- a/src/daemon/CallerServer.ts
+++ b/src/daemon/CallerServer.ts
@@ -1,7 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import { pipeline } from 'node:stream/promises';
-import type { Readable } from 'node:stream';
 import { once } from 'node:events';
 import * as E from 'fp-ts/lib/Either.js';
 import * as O from 'fp-ts/lib/Option.js';
@@ -33,6 +32,7 @@
 import { checkRequest, maxBufferedBodyBytes, type CheckedRequest } from './RequestCheck.js';
 import { createResumedBody } from './ResumedBody.js';
 import { sendFailure, sendText } from './Responses.js';
+import { readLimited } from './streams.js';
 import type { ForwardAnswer, HeaderPair } from './Types.js';
 
 const maxHeaderBytes = 16 * 1024;
@@ -87,17 +87,6 @@
   readonly onFinished: (request: FinishedRequest) => void;
 }
 
-async function bufferBody(stream: Readable, limit: number): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of stream) {
-    size += (chunk as Buffer).length;
-    if (size > limit) throw new RangeError(`body over ${limit} bytes`);
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks);
-}
-
 /** HTTP/1.1 server for callers. */
 export class CallerServer implements Disposable {
   private readonly server: Server;
@@ -290,7 +279,7 @@
       });
     });
     try {
-      return await Promise.race([bufferBody(request, maxBufferedBodyBytes), isLate]);
+      return await Promise.race([readLimited(request, maxBufferedBodyBytes), isLate]);
     } finally {
       timer?.dispose();
     }
--- a/src/sidecar/PeerHttpClient.ts
+++ b/src/sidecar/PeerHttpClient.ts
@@ -16,7 +16,9 @@
 import { decodeRecord } from '../common/fleet/daemonRecords.js';
 import type { DaemonRecord } from '../common/fleet/Types.js';
 import { dropHopByHop, findHeader, pairHeaders } from '../daemon/Headers.js';
+import { skipBody } from '../daemon/streams.js';
 import { bufferSmallBody } from './bufferSmallBody.js';
+import { limitOverhead } from './limitOverhead.js';
 import {
   conditionHeader,
   createRequestMetadata,
@@ -116,11 +118,18 @@
         this.markResponded(exchange, processingTimer);
         this.sendBody(exchange);
       });
-      request.on('error', (error) => {
+      const fail = (error: Error): void => {
         cleanUp();
         reject(this.classify(exchange, error, signal.aborted));
-      });
+      };
+      request.on('error', fail);
+      // A response that switches protocols closes the request without an error.
+      const failOnClose = (): void => {
+        fail(new Error('the request was closed without a response'));
+      };
+      request.once('close', failOnClose);
       request.on('response', (response) => {
+        request.off('close', failOnClose);
         this.markResponded(exchange, processingTimer);
         this.readResponse(exchange, response).then(resolve, reject).finally(cleanUp);
       });
@@ -160,6 +169,7 @@
       setHost: false,
     });
     request.setNoDelay(true);
+    limitOverhead(request);
     return { candidate, attempt, request, hasSentBody: false, hasResponded: false };
   }
 
@@ -222,7 +232,7 @@
     if (refusal !== undefined || Number.isNaN(version)) {
       // Ends a request without its body, so that the connection can be reused.
       if (!exchange.hasSentBody) request.end();
-      response.resume();
+      skipBody(response);
       const retryAfter = Number(findHeader(pairs, retryAfterHeader) ?? 0) || undefined;
       const hasReachedTarget = findHeader(pairs, targetReachedHeader) !== undefined;
       const details = { condition, retryAfter, hasReachedTarget };
@@ -231,7 +241,7 @@
     }
     const headers = dropHopByHop(pairs).filter(([name]) => !internalHeaders.has(name));
     if (findHeader(pairs, outcomeUnknownHeader) !== undefined) {
-      response.resume();
+      skipBody(response);
       throw new OutcomeUnknownError('the target gave no usable response', origin);
     }
     try {
--- a/src/sidecar/TargetHttpClient.ts
+++ b/src/sidecar/TargetHttpClient.ts
@@ -8,10 +8,11 @@
 import { OutcomeUnknownError, type OutcomeKind } from '../api/index.js';
 import { HomeRefusalError, type HeaderPair } from '../common/dispatch/Types.js';
 import { dropHopByHop, findHeader, pairHeaders } from '../daemon/Headers.js';
-import { discard } from '../daemon/streams.js';
+import { discard, skipBody } from '../daemon/streams.js';
 import { TargetFailure } from '../daemon/TargetFailure.js';
 import { failOnReset } from './failOnReset.js';
 import { IdleCheckingAgent } from './IdleCheckingAgent.js';
+import { limitOverhead } from './limitOverhead.js';
 import type { HeaderNames, HomeRequest, StreamedResponse, TargetConnection } from './Types.js';
 
 /** Connect timeout in milliseconds on the same VM. */
@@ -88,6 +89,7 @@
       signal.removeEventListener('abort', cancel);
     });
     this.watchConnection(exchange);
+    limitOverhead(request);
     return new Promise((resolve, reject) => {
       request.once('response', (response) => {
         // The parser would take a reset for the end of a response without a length.
@@ -101,6 +103,10 @@
         }
       });
       request.on('error', (error) => reject(this.classify(exchange, error)));
+      // A response that switches protocols closes the request without an error.
+      request.once('close', () => {
+        reject(this.classify(exchange, new Error('the request was closed without a response')));
+      });
       if (signal.aborted) cancel();
       else request.end(body);
     });
@@ -168,7 +174,7 @@
     const headers = pairHeaders(response.rawHeaders);
     const status = response.statusCode ?? 0;
     if (findHeader(headers, names.notRun) !== undefined || status === misdirectedStatus) {
-      response.resume();
+      skipBody(response);
       throw this.createRefusal(status);
     }
     const problem = this.findProblem(homeRequest, status, headers);
