Refuse requests that come after a stopping daemon has stopped accepting

Such a request is now refused at once as not run, and the stop waits for requests rather than for connections.

The times of a stop are worked out from the grace period in one place. The stop also waits until responses to other daemons are written rather than until their target has sent them.

--- a/src/sidecar/CallerServer.test.ts
+++ b/src/sidecar/CallerServer.test.ts
@@ -1,4 +1,6 @@
 import { Agent, request as startRequest } from 'node:http';
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { text } from 'node:stream/consumers';
 import { expect } from 'chai';
 import { brandAs, createRandom, type ServiceName } from '../api/index.js';
@@ -64,8 +66,10 @@
     });
   }
 
-  public async listen(): Promise<void> {
+  /** Listens on a free loopback port and returns it. */
+  public async listen(): Promise<number> {
     this.port = await this.server.listen('127.0.0.1:0');
+    return this.port;
   }
 
   /** Resolves when the next request reaches the dispatcher. */
@@ -76,14 +80,14 @@
   }
 
   /** Sends a request; resolves to its body, or to how it ended without one. */
-  public send(id: string, agent: Agent | false = false): Promise<string> {
+  public send(id: string, agent: Agent | false = false, path = '/lots/1'): Promise<string> {
     return new Promise((resolve) => {
       const headers = { host, id };
       const options = {
         agent,
         host: '127.0.0.1',
         port: this.port,
-        path: '/lots/1',
+        path,
         headers,
       };
       const request = startRequest(options, (response) => {
@@ -108,6 +112,19 @@
     expect(line?.fields).to.include({ request: 'r-1', route: 'lots', phase: 'dispatch' });
   });
 
+  it('refuses a request that comes on an unused connection after the server stopped accepting', async () => {
+    const fixture = new Fixture(() => new Promise(() => {}));
+    const socket = connect(await fixture.listen(), '127.0.0.1');
+    await once(socket, 'connect');
+    // A response shows that the server has accepted the connections before it.
+    await fixture.send('none', false, '/none/');
+    fixture.server.drain();
+    const received = text(socket);
+    socket.write(`GET /lots/1 HTTP/1.1\r\nhost: ${host}\r\nid: r-1\r\n\r\n`);
+    expect(await received).to.match(/^HTTP\/1.1 503 [^]*connection: close/i);
+    fixture.server.dispose();
+  });
+
   it('closes the connection after a response that was pending at the stop, so that no next request crosses the close', async () => {
     let respond = (): void => {};
     const fixture = new Fixture(
--- a/src/sidecar/CallerServer.ts
+++ b/src/sidecar/CallerServer.ts
@@ -1,5 +1,4 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { once } from 'node:events';
 import { pipeline } from 'node:stream/promises';
 import * as E from 'fp-ts/lib/Either.js';
 import {
@@ -35,8 +34,6 @@
 /** Bounds of `Retry-After` in milliseconds. */
 const retryAfterBounds = { min: 100, max: 5_000 } as const;
 const millisecondsPerSecond = 1_000;
-/** Milliseconds between two passes that close idle connections of a stopping server. */
-const idleCloseInterval = 500;
 
 /** A completed request, for metrics. */
 export interface CompletedRequest {
@@ -94,6 +91,8 @@
 
   private isStopping = false;
 
+  private isDraining = false;
+
   private readonly openRequests = new Map<ServerResponse, OpenRequest>();
 
   public constructor(private readonly settings: CallerServerSettings) {
@@ -125,14 +124,11 @@
     });
   }
 
-  /** Stops accepting connections; resolves when every request in flight has been answered. */
-  public async drain(): Promise<void> {
+  /** Stops accepting connections, closes idle ones, and refuses the requests that still come on others. */
+  public drain(): void {
     this.disableKeepAlive();
-    const closed = once(this.server, 'close');
+    this.isDraining = true;
     this.server.close();
-    const timer = setInterval(() => this.server.closeIdleConnections(), idleCloseInterval);
-    await closed;
-    clearInterval(timer);
   }
 
   /** Closes all connections and logs the requests that get no complete response. */
@@ -184,6 +180,9 @@
 
   private findRoute({ host, path }: CheckedRequest): TrafficRoute {
     const { traffic } = this.settings;
+    if (this.isDraining) {
+      throw new NotRunError('draining', 'this daemon is stopping', { step: 'entry.drain' });
+    }
     if (!traffic.isKnown) {
       throw new NotRunError('store-away', 'no configuration is known yet', { step: 'entry.route' });
     }
--- a/src/sidecar/HomeServer.ts
+++ b/src/sidecar/HomeServer.ts
@@ -73,6 +73,8 @@
 export class HomeServer implements Disposable {
   private readonly server: Server;
 
+  private inFlight = 0;
+
   public constructor(private readonly settings: HomeServerSettings) {
     const options = { keepAliveTimeout, maxHeaderSize, requestTimeout: 0, headersTimeout: 0 };
     this.server = createServer(options, (request, response) => {
@@ -85,6 +87,11 @@
     this.server.on('clientError', (_error, socket) => socket.destroy());
   }
 
+  /** Requests without a complete response. */
+  public get load(): number {
+    return this.inFlight;
+  }
+
   /** Binds to `host:port` and returns the port. */
   public listen(address: string): Promise<number> {
     return listen(this.server, address);
@@ -104,6 +111,10 @@
     const metadata = decodeRequestMetadata(findHeader(pairs, requestMetadataHeader));
     response.sendDate = false;
     response.on('error', () => response.destroy());
+    this.inFlight += 1;
+    response.once('close', () => {
+      this.inFlight -= 1;
+    });
     if (metadata === undefined) {
       response.writeHead(badRequestStatus, { 'content-length': 0 });
       response.end();
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -39,6 +39,7 @@
 import { PeerHttpClient } from './PeerHttpClient.js';
 import type { SidecarSettings } from './Settings.js';
 import { SidecarMetrics } from './SidecarMetrics.js';
+import { createStopSchedule } from './stopSchedule.js';
 import { TrafficState } from './TrafficState.js';
 import type { HeaderNames } from './Types.js';
 
@@ -64,12 +65,10 @@
 const pruneInterval = 2_000;
 /** Minimum milliseconds between two refreshes caused by peers with a newer configuration. */
 const minRefreshInterval = 400;
-/** Milliseconds for which a stopping daemon still accepts callers: two failed readiness checks, one second apart. */
-const callerDrainTime = 2_700;
-/** Milliseconds reserved at the end of the grace period. */
-const graceReserve = 400;
-/** Milliseconds before that in which the last responses are sent. */
-const responseReserve = 400;
+/** Maximum milliseconds for removing the own record from the store at the end of a stop. */
+const withdrawTimeout = 200;
+/** Milliseconds between checks of the requests in flight during a stop. */
+const drainPollInterval = 50;
 
 /** Store key and decoder of the traffic configuration. */
 export interface ConfigurationSource {
@@ -244,20 +243,18 @@
   /** Graceful shutdown: waits until callers and other daemons stop sending and requests in flight are complete. */
   public async stop(): Promise<void> {
     const { clock } = this.environment;
-    const deadline = clock.elapsed() + this.settings.grace - graceReserve;
+    const begun = clock.elapsed();
+    const { acceptUntil, respondBy, closeBy } = createStopSchedule(this.settings.grace);
     this.isStopping = true;
     this.logLifecycle('stopping', this.loads());
     this.callerServer.disableKeepAlive();
-    this.dispatcher.endBy(deadline - responseReserve);
+    this.dispatcher.endBy(begun + respondBy);
     this.publish();
     this.home.drain();
-    await this.sleep(callerDrainTime);
-    const drained = this.callerServer.drain();
-    while (clock.elapsed() < deadline && this.callerServer.load + this.home.load > 0) {
-      await this.sleep(50);
-    }
-    await Promise.race([drained, this.sleep(Math.max(0, deadline - clock.elapsed()))]);
-    await Promise.race([this.registration.withdraw(), this.sleep(graceReserve / 2)]);
+    await this.sleep(acceptUntil);
+    this.callerServer.drain();
+    while (clock.elapsed() < begun + closeBy && this.load > 0) await this.sleep(drainPollInterval);
+    await Promise.race([this.registration.withdraw(), this.sleep(withdrawTimeout)]);
     this.logLifecycle('stopped', this.loads());
     this.dispose();
   }
@@ -488,9 +485,13 @@
     };
   }
 
-  /** Requests in flight of callers and at the local target. */
+  /** Requests in flight of callers and of other daemons. */
+  private get load(): number {
+    return this.callerServer.load + this.homeServer.load;
+  }
+
   private loads(): Readonly<Record<string, number>> {
-    return { callersInFlight: this.callerServer.load, homeInFlight: this.home.load };
+    return { callersInFlight: this.callerServer.load, peersInFlight: this.homeServer.load };
   }
 
   private logLifecycle(message: string, more: Readonly<Record<string, number>> = {}): void {
