Give up a request without a slot before its stopping daemon runs out of time

The entry of a stopping daemon ended running and queued requests at the same moment. The slots of the former then went to the latter, which started at a target only to be cut, and their callers got 504 in place of 503. A request that no target has started is now given up while it would still have time to run, by the median latency of its route. One that comes too late for that is refused without an attempt.

--- a/src/common/dispatch/Dispatcher.test.ts
+++ b/src/common/dispatch/Dispatcher.test.ts
@@ -14,6 +14,7 @@
   type TargetId,
 } from '../base/index.js';
 import { logit } from '../health/HealthEstimator.js';
+import { LatencyDistribution } from '../health/LatencyDistribution.js';
 import type { TrafficRoute } from '../routing/TrafficTypes.js';
 import { MemoryLog } from '../../testing/MemoryLog.js';
 import { Dispatcher, type Directory } from './Dispatcher.js';
@@ -416,7 +417,7 @@
         clock.after(stopAfter, stop);
       }
       let endedAt = Infinity;
-      const patient = { ...route, timeout: 10_000, goal: 8_000 };
+      const patient = { ...route, timeout: 10_000, goal: 4_000 };
       const ended = dispatcher.dispatch(call(patient), new AbortController().signal).then(
         (): Result => 'answered',
         (error: unknown): Result => {
@@ -426,12 +427,40 @@
       );
       await clock.advanceAsync(10_000);
       expect(await ended).to.equal(result);
-      expect(endedAt).to.be.at.most(endsAt);
-      const limits = fleet.requests.map(({ timeout }) => timeout);
-      if (stopAfter < 0) expect(Math.max(...limits)).to.be.at.most(endsAt);
+      // A target that runs the request may answer until shortly before the end.
+      expect(endedAt).to.be.within(result === 'unknown' ? endsAt - 50 : 0, endsAt);
+      if (stopAfter > 0) return;
+      fleet.requests.forEach(({ timeout, maxQueueWait }) => {
+        expect(timeout).to.be.at.most(endsAt + stopAfter);
+        expect(maxQueueWait).to.be.at.most(timeout);
+      });
     });
   });
 
+  it('sends nothing for a request that arrives when the daemon is about to end', async () => {
+    const fleet = createFleet({ a: 'answers' });
+    fleet.dispatcher.endBy(0);
+    expect(await dispatchCall(fleet, lookup)).to.equal('not run');
+    expect(fleet.requests).to.have.length(0);
+  });
+
+  it('gives up a queued bid while it still had time to run, so that it gets no slot only to be cut', async () => {
+    const fleet = createFleet({ a: 'queues' });
+    const result = fleet.dispatcher
+      .dispatch(call({ ...bid, goal: 4_000 }), new AbortController().signal)
+      .catch(() => fleet.clock.elapsed());
+    fleet.clock.after(300, () => fleet.dispatcher.endBy(1_800));
+    await fleet.clock.advanceAsync(10_000);
+    expect(await result).to.be.at.most(1_800 - new LatencyDistribution(4_000).median);
+  });
+
+  it('does not retry a look-up when the daemon is about to end', async () => {
+    const fleet = createFleet({ a: 'breaks', b: 'breaks' });
+    fleet.dispatcher.endBy(48);
+    expect(await dispatchCall(fleet, { ...lookup, goal: 100 })).to.equal('unknown');
+    expect(fleet.starts).to.have.length(1);
+  });
+
   it('does not shorten the wait of a request that ends before the daemon does', async () => {
     const fleet = createFleet({ a: 'answers' });
     fleet.dispatcher.endBy(5_000);
--- a/src/common/dispatch/Dispatcher.ts
+++ b/src/common/dispatch/Dispatcher.ts
@@ -168,14 +168,15 @@
 
   private async run(state: DispatchState, signal: AbortSignal): Promise<TargetAnswer> {
     const { clock } = this.settings;
+    if (this.patience(state) <= 0) throw this.createTimeoutError(state);
     this.startAttempt(state);
     for (;;) {
       const event = await this.nextEvent(state);
       if (signal.aborted) throw this.createCancelledError(state);
-      if (event === 'deadline') throw this.createTimeoutError(state);
+      if (event === 'deadline' && this.patience(state) <= 0) throw this.createTimeoutError(state);
       if (event === 'review') {
         if (this.hedgeWait(state) <= 0) this.hedge(state);
-      } else if (event !== 'stopping') {
+      } else if (event !== 'stopping' && event !== 'deadline') {
         state.running.delete(event.attempt);
         const { result } = event;
         if (isSuccess(result)) return (result as { answer: TargetAnswer }).answer;
@@ -197,7 +198,7 @@
       });
     const waits: Promise<DispatchEvent>[] = [
       ...[...state.running].map(async (attempt) => ({ attempt, result: await attempt.result })),
-      timeout(Math.max(0, this.remaining(state) - answerMargin), 'deadline'),
+      timeout(Math.max(0, this.patience(state)), 'deadline'),
       new Promise<'stopping'>((resolve) => {
         timers.push(this.endEmitter.event(() => resolve('stopping')));
       }),
@@ -219,6 +220,17 @@
     return Math.min(timeoutAt, this.endsAt) - this.settings.clock.elapsed();
   }
 
+  /**
+   * Milliseconds for which a request still waits. If the daemon stops, one that no target has started is given up while
+   * it would still have time to run, so that it does not get a slot only to be cut.
+   */
+  private patience(state: DispatchState): number {
+    const { call, timeoutAt } = state;
+    const mayStartLate = this.endsAt >= timeoutAt || this.mayRun(state);
+    const work = mayStartLate ? 0 : this.settings.statistics.get(call.route).latencies.median;
+    return this.remaining(state) - answerMargin - work;
+  }
+
   private canHedge({ call, running, sent }: DispatchState): boolean {
     return call.route.isIdempotent && sent < call.route.maxAttempts && running.size === 1;
   }
