--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -490,6 +490,7 @@
     return this.callerServer.load + this.homeServer.load;
   }
 
+  /** The same as fields of a log line. */
   private loads(): Readonly<Record<string, number>> {
     return { callersInFlight: this.callerServer.load, peersInFlight: this.homeServer.load };
   }
--- a/src/sidecar/stopSchedule.ts
+++ b/src/sidecar/stopSchedule.ts
@@ -13,7 +13,7 @@
   readonly acceptUntil: number;
   /** Every request has its final response. */
   readonly respondBy: number;
-  /** The sockets are closed. */
+  /** End of waiting for responses to be written; the daemon leaves the fleet and closes its sockets. */
   readonly closeBy: number;
 }
 
