Accept fractional and large numbers in the daemon's settings

The slack is now a number that may have a fraction, quantities may have an exponent, and the ratio has no upper bound. A value that overflows, is negative or has no unit still stops the start with one line.

--- a/src/common/settings/kinds.ts
+++ b/src/common/settings/kinds.ts
@@ -9,7 +9,10 @@
   readonly max?: number;
 }
 
-const quantityPattern = /^(?<amount>\d+(?:\.\d+)?)\s*(?<unit>[^\d\s].*)?$/;
+/** Non-negative number as JSON writes it; very large and very small ones have an exponent. */
+const amountSource = String.raw`\d+(?:\.\d+)?(?:[eE][+-]?\d+)?`;
+const amountPattern = new RegExp(`^${amountSource}$`);
+const quantityPattern = new RegExp(`^(?<amount>${amountSource})\\s*(?<unit>[^\\d\\s].*)?$`);
 
 function describeUnits(units: Readonly<Record<string, number>>): string {
   return Object.keys(units).join(', ');
@@ -23,7 +26,10 @@
   return ordered.find(([, factor]) => Number.isInteger(value / factor)) ?? smallest;
 }
 
-function isWithin(value: number, { min: least = 0, max: greatest = Infinity }: Bounds): boolean {
+function isWithin(
+  value: number,
+  { min: least = 0, max: greatest = Number.MAX_VALUE }: Bounds,
+): boolean {
   return value >= least && value <= greatest;
 }
 
@@ -103,6 +109,18 @@
   };
 }
 
+/** Number without a unit that may have a fraction. */
+export function decimal(bounds: Bounds = {}): ValueKind<number> {
+  return {
+    allowed: 'a number such as 56 or 25.3',
+    format: String,
+    parse: (input) => {
+      if (!amountPattern.test(input)) return left('it is not a number');
+      return isWithin(Number(input), bounds) ? right(Number(input)) : left('it is out of bounds');
+    },
+  };
+}
+
 /** Non-empty text that matches a pattern. */
 export function text(pattern = /^.+$/, allowed = 'text'): ValueKind<string> {
   return {
--- a/src/sidecar/Settings.ts
+++ b/src/sidecar/Settings.ts
@@ -11,8 +11,8 @@
 import {
   address,
   choice,
+  decimal,
   duration,
-  integer,
   list,
   name,
   optional,
@@ -63,7 +63,7 @@
 const defaultRatio = 0.1;
 
 /** Ratio such as `0.2 x`. */
-const ratio = () => quantity('a ratio such as 0.2 x', { x: 1 }, { max: 1 });
+const ratio = () => quantity('a ratio such as 0.2 x', { x: 1 });
 
 const schema = {
   daemon: single({
@@ -84,7 +84,7 @@
   store: single({ addresses: required(list(address())) }),
   retries: single({
     ratio: withDefault(ratio(), defaultRatio),
-    slack: withDefault(integer(), 0),
+    slack: withDefault(decimal(), 0),
     window: withDefault(duration(), defaultWindow),
   }),
   log: single({ level: withDefault(choice('debug', 'info', 'warn', 'error'), 'info') }),
