Order the pipelined requests of a connection and answer them completely

Callers may send further requests before the first is answered. Seen over raw sockets, in the daemon beside a target and in the own composition:

- a request that must run alone started beside earlier ones;
- one connection could start any number of requests at once, so that six took more than the slots of a target and the sixth was refused as queue-full instead of being read later;
- after a malformed request the error was written at once, so that the caller took it for the answer to an earlier request;
- at a stop, the close was announced in the first pending response, and the started requests behind it got no answer;
- what came behind a response with the close of the connection ran;
- when the caller left, only the request whose response was next to be sent was cancelled: Node.js emits no event for queued responses.
The others went on at their targets and held the drain.

A stop announces the close in the response to the newest request. Parser errors and CONNECT wait for the earlier responses. A request without a host is refused by checkRequest, since Node.js would answer it behind the server's back.

--- a/src/daemon/CallerServer.ts
+++ b/src/daemon/CallerServer.ts
@@ -29,6 +29,8 @@
 } from './Headers.js';
 import { answerConnectionErrors } from './connectionErrors.js';
 import { createFingerprint } from './fingerprint.js';
+import { PipelinedConnections } from './PipelinedConnections.js';
+import type { PipelinedRequest } from './PipelinedRequest.js';
 import { checkRequest, maxBufferedBodyBytes, type CheckedRequest } from './RequestCheck.js';
 import { createResumedBody } from './ResumedBody.js';
 import { sendFailure, sendText } from './Responses.js';
@@ -46,6 +48,8 @@
 const accountHeader = 'limpettrack-account';
 const keyHeader = 'idempotency-key';
 const internalPrefix = '/.limpettrack/';
+/** Methods of internal requests that change nothing. */
+const safeMethods: ReadonlySet<string> = new Set(['GET', 'HEAD']);
 
 /** Runs a non-idempotent request and returns the answer. */
 export type OperationRunner = (
@@ -91,8 +95,10 @@
 export class CallerServer implements Disposable {
   private readonly server: Server;
 
-  /** Responses to requests in flight. */
-  private readonly responses = new Set<ServerResponse>();
+  private readonly connections = new PipelinedConnections();
+
+  /** Requests in flight. */
+  private readonly requests = new Set<PipelinedRequest>();
 
   private isDraining = false;
 
@@ -104,6 +110,8 @@
         keepAliveTimeout: keepAliveTimeoutMs,
         requestTimeout: 0,
         insecureHTTPParser: false,
+        // RequestCheck refuses a request without a host in the order of its connection.
+        requireHostHeader: false,
       },
       (request, response) => {
         void this.handle(request, response);
@@ -119,12 +127,10 @@
     return listen(this.server, address);
   }
 
-  /** Fails readiness and closes each connection after its next answer, including those to requests in flight. */
+  /** Fails readiness and closes each connection after the answers to the requests that it has sent. */
   public announceStop(): void {
     this.isDraining = true;
-    this.responses.forEach((response) => {
-      if (!response.headersSent) response.setHeader('connection', 'close');
-    });
+    this.connections.announceStop();
   }
 
   /** Stops accepting and resolves when every request in flight has been answered. */
@@ -134,7 +140,7 @@
     // Server.close of node:http would also close the idle connections at once.
     NetServer.prototype.close.call(this.server);
     await Promise.race([closed, this.sleep(idleCloseDelayMs)]);
-    while (this.responses.size > 0) await this.sleep(drainPollIntervalMs);
+    while (this.requests.size > 0) await this.sleep(drainPollIntervalMs);
     // What is left has no complete request, and its caller may keep it open without end.
     this.server.closeAllConnections();
   }
@@ -151,62 +157,71 @@
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.responses.add(response);
-    response.once('close', () => this.responses.delete(response));
-    if (this.isDraining) response.setHeader('connection', 'close');
+    const pipelined = this.connections.open(request, response);
+    if (pipelined.isDropped) return;
+    this.requests.add(pipelined);
+    pipelined.signal.addEventListener('abort', () => this.requests.delete(pipelined));
     const headers = pairHeaders(request.rawHeaders);
     const checked = checkRequest(request, headers);
     if (E.isLeft(checked)) {
-      response.setHeader('connection', 'close');
+      pipelined.closeConnection();
       sendText(response, checked.left.status, checked.left.message, {
         'limpettrack-outcome': 'not-run',
       });
       return;
     }
     try {
-      if (!(await this.handleInternal(request, response, checked.right))) {
-        await this.handleProxied(request, response, headers, checked.right);
+      if (checked.right.path.startsWith(internalPrefix)) {
+        await this.handleInternal(pipelined, request, checked.right);
+      } else {
+        await this.handleProxied(pipelined, request, headers, checked.right);
       }
     } catch (error) {
-      sendFailure(response, error);
+      if (!pipelined.isDropped) sendFailure(response, error);
     }
   }
 
   private async handleInternal(
+    pipelined: PipelinedRequest,
     request: IncomingMessage,
-    response: ServerResponse,
     { path }: CheckedRequest,
-  ): Promise<boolean> {
-    if (!path.startsWith(internalPrefix)) return false;
+  ): Promise<void> {
+    const { response } = pipelined;
     if (path === `${internalPrefix}ready`) {
       sendText(response, this.isDraining ? 503 : 200, this.isDraining ? 'stopping' : 'ready');
-      return true;
+      return;
     }
+    if (!(await pipelined.waitForTurn(safeMethods.has(request.method ?? '')))) return;
     if (!(await this.settings.internal(request, response, path))) {
       sendText(response, 404, 'no such path');
     }
-    return true;
   }
 
   private async handleProxied(
+    pipelined: PipelinedRequest,
     request: IncomingMessage,
-    response: ServerResponse,
     headers: readonly HeaderPair[],
     checked: CheckedRequest,
   ): Promise<void> {
     const started = this.settings.clock.elapsed();
+    const { response } = pipelined;
     const context = this.createContext(request, headers, checked);
-    const abort = new AbortController();
-    response.once('close', () => abort.abort());
+    if (!(await pipelined.waitForTurn(context.isIdempotent))) return;
+    const waited = this.settings.clock.elapsed() - started;
     let failure: unknown;
     try {
-      await this.settings.checkLimits(context);
-      const routed = await this.createRoutedRequest(request, headers, checked, context);
+      if (waited >= context.timeout) {
+        const message = 'the responses to earlier requests on the connection took too long';
+        throw new NotRunError('deadline', message, { step: 'entry.pipeline' });
+      }
+      const timely = { ...context, timeout: context.timeout - waited };
+      await this.settings.checkLimits(timely);
+      const routed = await this.createRoutedRequest(request, headers, checked, timely);
       this.settings.checkQuarantine(routed.context);
-      await this.answer(response, routed, abort.signal);
+      await this.answer(pipelined, routed);
     } catch (error) {
       failure = error;
-      this.sendError(response, context, error);
+      if (!pipelined.isDropped) this.sendError(pipelined, context, error);
     }
     const duration = this.settings.clock.elapsed() - started;
     this.settings.onFinished({ context, status: response.statusCode, duration, error: failure });
@@ -286,9 +301,8 @@
   }
 
   private async answer(
-    response: ServerResponse,
+    { response, signal }: PipelinedRequest,
     routed: RoutedRequest,
-    signal: AbortSignal,
   ): Promise<void> {
     const { forwarder, runOperation } = this.settings;
     const { isIdempotent: canRepeat } = routed.context;
@@ -306,9 +320,10 @@
     await pipeline(body, response);
   }
 
-  private sendError(response: ServerResponse, context: RequestContext, error: unknown): void {
+  private sendError(pipelined: PipelinedRequest, context: RequestContext, error: unknown): void {
+    const { response } = pipelined;
     if (error instanceof RangeError) {
-      response.setHeader('connection', 'close');
+      pipelined.closeConnection();
       sendText(response, 413, error.message, { 'limpettrack-outcome': 'not-run' });
       return;
     }
--- a/src/daemon/connectionErrors.ts
+++ b/src/daemon/connectionErrors.ts
@@ -20,20 +20,32 @@
   server: Server,
   { headers = [] }: ConnectionErrorOptions = {},
 ): void {
-  // After a request was refused because of its head, the parser can also reject the bytes that follow it.
+  /** Last response of each connection that is not sent yet. */
   const lastResponses = new WeakMap<Duplex, ServerResponse>();
+  const refused = new WeakSet<Duplex>();
   const refuse = (socket: Duplex, [status, text]: readonly [number, string]): void => {
+    // The last response has closed the connection already.
+    if (!socket.writable) return;
     const lines = [`HTTP/1.1 ${status} ${text}`, 'connection: close', 'content-length: 0'];
     socket.end(`${[...lines, ...headers].join('\r\n')}\r\n\r\n`);
   };
-  server.on('request', (request, response) => lastResponses.set(request.socket, response));
+  /** Refuses what was sent behind earlier requests once these have their responses, and only once. */
+  const refuseInOrder = (socket: Duplex, answer: readonly [number, string]): void => {
+    if (refused.has(socket)) return;
+    refused.add(socket);
+    const last = lastResponses.get(socket);
+    if (last === undefined) refuse(socket, answer);
+    else last.once('finish', () => refuse(socket, answer));
+  };
+  server.on('request', ({ socket }, response) => {
+    lastResponses.set(socket, response);
+    response.once('finish', () => {
+      if (lastResponses.get(socket) === response) lastResponses.delete(socket);
+    });
+  });
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-    const response = lastResponses.get(socket);
-    const isClosing =
-      response?.writableEnded === true && response.getHeader('connection') === 'close';
-    if (!socket.writable || error.code === 'ECONNRESET') socket.destroy();
-    else if (isClosing) socket.end();
-    else refuse(socket, parserErrors[error.code ?? ''] ?? badRequest);
+    if (error.code === 'ECONNRESET') socket.destroy();
+    else refuseInOrder(socket, parserErrors[error.code ?? ''] ?? badRequest);
   });
-  server.on('connect', (_request, socket) => refuse(socket, methodNotAllowed));
+  server.on('connect', (_request, socket) => refuseInOrder(socket, methodNotAllowed));
 }
--- a/src/sidecar/CallerServer.ts
+++ b/src/sidecar/CallerServer.ts
@@ -21,6 +21,8 @@
 import { chooseService, type TrafficRoute } from '../common/routing/TrafficTypes.js';
 import { answerConnectionErrors } from '../daemon/connectionErrors.js';
 import { dropHopByHop, findHeader, pairHeaders } from '../daemon/Headers.js';
+import { PipelinedConnections } from '../daemon/PipelinedConnections.js';
+import type { PipelinedRequest } from '../daemon/PipelinedRequest.js';
 import { checkRequest, type CheckedRequest } from '../daemon/RequestCheck.js';
 import { sendText } from '../daemon/Responses.js';
 import { listen } from '../node/listen.js';
@@ -74,6 +76,7 @@
 interface OpenRequest {
   readonly id: string;
   readonly request: IncomingMessage;
+  readonly pipelined: PipelinedRequest;
   /** Time at which its head arrived. */
   readonly started: number;
   route: TrafficRoute | undefined;
@@ -89,14 +92,16 @@
 export class CallerServer implements Disposable {
   private readonly server: Server;
 
-  private isStopping = false;
+  private readonly connections = new PipelinedConnections();
 
   private isDraining = false;
 
   private readonly openRequests = new Map<ServerResponse, OpenRequest>();
 
   public constructor(private readonly settings: CallerServerSettings) {
-    this.server = createServer({ maxHeaderSize, requestTimeout: 0 }, (request, response) => {
+    // Without a host, checkRequest refuses a request in the order of its connection.
+    const options = { maxHeaderSize, requestTimeout: 0, requireHostHeader: false };
+    this.server = createServer(options, (request, response) => {
       void this.handle(request, response);
     });
     // The parser would silently drop headers above its count limit; checkRequest rejects them instead.
@@ -116,12 +121,9 @@
     return listen(this.server, address);
   }
 
-  /** Closes each connection after its next response. */
+  /** Closes each connection after the responses to the requests that it has sent. */
   public disableKeepAlive(): void {
-    this.isStopping = true;
-    this.openRequests.forEach((_, response) => {
-      if (!response.headersSent) response.setHeader('connection', 'close');
-    });
+    this.connections.announceStop();
   }
 
   /** Stops accepting connections, closes idle ones, and refuses the requests that still come on others. */
@@ -150,24 +152,26 @@
     const pairs = pairHeaders(request.rawHeaders);
     const id = findHeader(pairs, this.settings.names.requestId) ?? '';
     response.sendDate = false;
-    if (this.isStopping) response.setHeader('connection', 'close');
-    const open: OpenRequest = { id, request, started, route: undefined };
+    const pipelined = this.connections.open(request, response);
+    if (pipelined.isDropped) return;
+    const open: OpenRequest = { id, request, pipelined, started, route: undefined };
     this.openRequests.set(response, open);
-    response.once('close', () => this.openRequests.delete(response));
+    pipelined.signal.addEventListener('abort', () => this.openRequests.delete(response));
     let service = '';
     try {
       const checked = checkRequest(request, pairs);
       if (E.isLeft(checked)) {
-        response.setHeader('connection', 'close');
+        pipelined.closeConnection();
         sendText(response, checked.left.status, checked.left.message);
         return;
       }
       const route = this.findRoute(checked.right);
       open.route = route;
+      if (!(await pipelined.waitForTurn(route.isIdempotent))) return;
       service = chooseService(route, this.settings.random) ?? '';
-      await this.serve(request, response, { id, pairs, route, service, started, ...checked.right });
+      await this.serve(open, response, { pairs, route, service, ...checked.right });
     } catch (error) {
-      this.sendFailure(response, id, open.route, error);
+      this.sendFailure(response, open, error);
     } finally {
       this.settings.onEnd({
         service,
@@ -194,22 +198,18 @@
   }
 
   private async serve(
-    request: IncomingMessage,
+    { id, request, started, pipelined }: OpenRequest,
     response: ServerResponse,
     parsed: CheckedRequest & {
-      readonly id: string;
       readonly pairs: ReturnType<typeof pairHeaders>;
       readonly route: TrafficRoute;
       readonly service: string;
-      readonly started: number;
     },
   ): Promise<void> {
     const { names, traffic, dispatcher, clock } = this.settings;
-    const abort = new AbortController();
-    response.once('close', () => abort.abort());
     const body =
       parsed.length === 0 ? Buffer.alloc(0) : await readBody(request, traffic.limits.maxBodyBytes);
-    const waited = clock.elapsed() - parsed.started;
+    const waited = clock.elapsed() - started;
     const requestedTimeout = Number(
       findHeader(parsed.pairs, names.timeout) ?? parsed.route.timeout,
     );
@@ -218,7 +218,7 @@
         ? Math.min(requestedTimeout, parsed.route.timeout)
         : parsed.route.timeout;
     const call: IncomingCall = {
-      id: brandAs<RequestId>(parsed.id),
+      id: brandAs<RequestId>(id),
       route: parsed.route,
       service: brandAs(parsed.service),
       method: request.method ?? 'GET',
@@ -227,7 +227,8 @@
       body,
       timeout: maxTimeout - waited,
     };
-    const answer = await dispatcher.dispatch(call, abort.signal);
+    const answer = await dispatcher.dispatch(call, pipelined.signal);
+    if (pipelined.isDropped) return;
     await this.sendResponse(response, answer, call.method);
   }
 
@@ -290,8 +291,7 @@
 
   private sendFailure(
     response: ServerResponse,
-    id: string,
-    route: TrafficRoute | undefined,
+    { id, route, pipelined }: OpenRequest,
     error: unknown,
   ): void {
     const status = this.statusOf(error);
@@ -318,7 +318,8 @@
       response.destroy();
       return;
     }
-    if (status === 413) response.setHeader('connection', 'close');
+    if (pipelined.isDropped) return;
+    if (status === 413) pipelined.closeConnection();
     const headers: Record<string, string> = {};
     if (status === 503) headers['retry-after'] = wait.toFixed(2);
     const text = error instanceof NotRunError ? error.reason : 'failed';
