Believe a target's refusal only if it bears the id of the request

A faulty target may write an earlier refusal once more on a kept connection. The daemon took any response with the not-run header, or any 421, for the answer to its current request, before it looked at the id: the caller was told "not run, try again" for a request that ran (REFUSED), and the dispatcher sent a non-idempotent one to a second target (TWICE).

The id is now compared before anything else is read from a response; a response with another id or without one means that the outcome is unknown, and its connection is dropped. In the own composition a refusal without an echoed id was believed; its stand-in target echoes the id of what it sheds now.

Two cases of Home.test.ts sent refusals without an id and expected them to be believed; they bear the id now, and the forms without it or with another one are expected to be unknown. These and the kept connection fail on the code before.

--- a/src/daemon/TargetClient.ts
+++ b/src/daemon/TargetClient.ts
@@ -9,6 +9,7 @@
 import {
   dropHopByHop,
   findHeader,
+  outcomeHeader,
   pairHeaders,
   requestIdHeader,
   timeoutHeader,
@@ -17,6 +18,8 @@
 import { TargetFailure } from './TargetFailure.js';
 import type { ForwardRequest, HeaderPair } from './Types.js';
 
+/** Value of the outcome header in a response of a target that did not run the request. */
+const notRunOutcome = 'not-run';
 const connectTimeoutMs = 1_000;
 /** Longest pause within a body; after it the connection is considered half-open. */
 const bodyTimeoutMs = 10_000;
@@ -124,7 +127,9 @@
     const raw = pairHeaders(response.headers as unknown as string[]);
     const { statusCode: status, body } = response;
     const echo = findHeader(raw, requestIdHeader);
-    const isMismatched = echo !== undefined && echo !== request.context.id;
+    // Only an echoed id proves that a refusal is not the repetition of an earlier one.
+    const needsEcho = findHeader(raw, outcomeHeader) === notRunOutcome;
+    const isMismatched = echo === undefined ? needsEcho : echo !== request.context.id;
     if (isMismatched || !hasBodyLength(status, request.method, raw)) {
       discard(body);
       const message = isMismatched ? 'answer belongs to another request' : 'answer has no length';
--- a/src/sidecar/Home.test.ts
+++ b/src/sidecar/Home.test.ts
@@ -26,6 +26,16 @@
   return `HTTP/1.1 ${status}\r\nid: ${id}\r\nsignature: s\r\n${extra}\r\n${body}`;
 }
 
+/** Refusal of the request with this id. */
+function refusal(id: string): string {
+  return `HTTP/1.1 503 Service Unavailable\r\nid: ${id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n`;
+}
+
+/** Response to the request with this id, which expects another target. */
+function misdirection(id: string): string {
+  return `HTTP/1.1 421 Misdirected Request\r\nid: ${id}\r\ncontent-length: 0\r\n\r\n`;
+}
+
 function report(address: string, change: Partial<TargetReport> = {}): TargetReport {
   return {
     id: brandAs<TargetId>('t-1'),
@@ -89,8 +99,10 @@
   let target: RawTarget;
   let home: Home;
   let address: string;
+  let mayExclude: boolean;
 
   beforeEach(async () => {
+    mayExclude = true;
     target = new RawTarget((socket, request) => {
       socket.write(answer(request, 'content-length: 4\r\n', 'good'));
     });
@@ -103,7 +115,7 @@
       log: new MemoryLog(),
       retryLimits: () => ({ ratio: 0.2, slack: 2, window: 10 }),
       countTargets: () => 1,
-      mayExclude: () => true,
+      mayExclude: () => mayExclude,
       checkStart: () => {},
     });
     home.acceptAnnouncement(report(address));
@@ -209,16 +221,29 @@
     },
     {
       name: 'reports not run if the target says that it did not run the request',
-      behaviour: (socket) =>
-        socket.write('HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n'),
+      behaviour: (socket, request) => socket.write(refusal(request.header('id'))),
       result: 'not run: queue-full',
     },
     {
       name: 'reports not run if the target is not the expected one',
-      behaviour: (socket) =>
-        socket.write('HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n'),
+      behaviour: (socket, request) => socket.write(misdirection(request.header('id'))),
       result: 'not run: queue-full',
     },
+    {
+      name: 'does not believe a refusal with the id of another request',
+      behaviour: (socket) => socket.write(refusal('other')),
+      result: 'unknown',
+    },
+    {
+      name: 'does not believe a refusal without an id',
+      behaviour: (socket) => socket.write(refusal('other').replace('id: other\r\n', '')),
+      result: 'unknown',
+    },
+    {
+      name: 'does not believe a 421 with the id of another request',
+      behaviour: (socket) => socket.write(misdirection('other')),
+      result: 'unknown',
+    },
     {
       name: 'reports an unknown outcome for other 503 responses',
       behaviour: (socket) =>
@@ -251,6 +276,36 @@
     }
   });
 
+  it('does not report not run because an earlier refusal is repeated on the kept connection', async () => {
+    mayExclude = false;
+    let earlier = '';
+    target.handler = (socket, request) => {
+      const id = request.header('id');
+      if (earlier === '') earlier = refusal(id);
+      // The second request runs; its own response would follow.
+      socket.write(earlier);
+    };
+    expect(await run(home)).to.equal('not run: queue-full');
+    expect(await run(home)).to.equal('unknown');
+    expect(target.requests).to.have.length(2);
+    target.handler = (socket, request) => {
+      socket.write(answer(request, 'content-length: 4\r\n', 'good'));
+    };
+    expect(await run(home)).to.equal('200 good');
+    expect(target.closedConnections).to.equal(1);
+  });
+
+  it('takes no head that stops at any byte for a response', async () => {
+    mayExclude = false;
+    const whole = 'HTTP/1.1 200 OK\r\nid: ID\r\nsignature: s\r\ncontent-length: 4\r\n\r\n';
+    for (let length = 0; length < whole.length; length += 1) {
+      target.handler = (socket, request) => {
+        socket.end(whole.slice(0, length).replace('ID', request.header('id')));
+      };
+      expect(await run(home), whole.slice(0, length)).to.equal('unknown');
+    }
+  });
+
   it('sends the expected target and the timeout to the target', async () => {
     await run(home, { method: 'POST', timeout: 1_500 }, 'body');
     const [request] = target.requests;
--- a/src/sidecar/TargetHttpClient.ts
+++ b/src/sidecar/TargetHttpClient.ts
@@ -173,11 +173,16 @@
     const { names } = this.settings;
     const headers = pairHeaders(response.rawHeaders);
     const status = response.statusCode ?? 0;
+    if (findHeader(headers, names.requestId) !== homeRequest.id) {
+      // An extra response to an earlier request; this request may run, whatever that response says.
+      discard(response);
+      throw this.createFailure('invalid', 'response does not have the id of the request');
+    }
     if (findHeader(headers, names.notRun) !== undefined || status === misdirectedStatus) {
       skipBody(response);
       throw this.createRefusal(status);
     }
-    const problem = this.findProblem(homeRequest, status, headers);
+    const problem = this.findProblem(status, headers);
     if (problem !== undefined) {
       discard(response);
       throw this.createFailure('invalid', problem);
@@ -188,15 +193,9 @@
     return { status, headers: dropHopByHop(headers), body };
   }
 
-  private findProblem(
-    homeRequest: HomeRequest,
-    status: number,
-    headers: readonly HeaderPair[],
-  ): string | undefined {
-    const { names } = this.settings;
-    if (findHeader(headers, names.requestId) !== homeRequest.id)
-      return 'response has the id of another request';
-    if (findHeader(headers, names.signature) === undefined) return 'response without a signature';
+  private findProblem(status: number, headers: readonly HeaderPair[]): string | undefined {
+    if (findHeader(headers, this.settings.names.signature) === undefined)
+      return 'response without a signature';
     if (status < firstErrorStatus && findHeader(headers, 'content-encoding') !== undefined) {
       return 'response with a content coding that was not requested';
     }
--- a/src/target/TargetServer.ts
+++ b/src/target/TargetServer.ts
@@ -126,6 +126,7 @@
     if (this.queue.length >= this.settings.slots * maxQueuedPerSlot) {
       // Tells the daemon that the request did not run, so that it may be retried on another target.
       response.setHeader('limpettrack-outcome', 'not-run');
+      response.setHeader(requestIdHeader, String(request.headers[requestIdHeader] ?? ''));
       this.sendJson(response, 503, { error: 'overloaded' });
       return;
     }
