Let the endless refusals of a test bear the id of their request

Since refusals are believed only with the id of their request, three cases of endlessResponses.test.ts at each of two daemons failed: their refusals had no id. Targets echo it, so the cases bear it now and expect the same as before; a refusal without one is a further case and means an unknown outcome.

--- a/src/sidecar/endlessResponses.test.ts
+++ b/src/sidecar/endlessResponses.test.ts
@@ -58,6 +58,11 @@
   readonly result: string;
 }
 
+/** Head of a refusal of this request. */
+function refusal(request: RawRequest, status: string, headers = ''): string {
+  return `HTTP/1.1 ${status}\r\nid: ${request.header('id')}\r\n${headers}\r\n`;
+}
+
 /** Responses of which it is clear before the timeout that they are none. */
 const invalidCases: readonly EndlessCase[] = [
   { name: 'garbage', start: () => '', piece: 'garbage ', result: 'failed' },
@@ -126,22 +131,28 @@
   },
   {
     name: 'a refusal with a body without a length',
-    start: () => 'HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\n\r\n',
+    start: (request) => refusal(request, '503 Service Unavailable', 'not-run: 1\r\n'),
     piece: 'x',
     result: 'not run: queue-full',
   },
   {
     name: 'a refusal with a chunked body',
-    start: () => `HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\n${chunked}\r\n`,
+    start: (request) => refusal(request, '503 Service Unavailable', `not-run: 1\r\n${chunked}`),
     piece: '5\r\nhello\r\n',
     result: 'not run: queue-full',
   },
   {
     name: 'a 421 response with a body without a length',
-    start: () => 'HTTP/1.1 421 Misdirected Request\r\n\r\n',
+    start: (request) => refusal(request, '421 Misdirected Request'),
     piece: 'x',
     result: 'not run: queue-full',
   },
+  {
+    name: 'a refusal without a request id',
+    start: () => 'HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\n\r\n',
+    piece: 'x',
+    result: 'failed',
+  },
   {
     name: 'a body of another request',
     start: () => 'HTTP/1.1 200 OK\r\nid: other\r\nsignature: s\r\n\r\n',
