--- a/src/bench/scenarios/hop.ts
+++ b/src/bench/scenarios/hop.ts
@@ -19,6 +19,7 @@
 import type { HeaderPair } from '../../daemon/Types.js';
 import { SystemClock } from '../../node/SystemClock.js';
 import { HomeServer } from '../../sidecar/HomeServer.js';
+import { newestPeerEncoding, PeerCodecs } from '../../sidecar/peer/peerCodecs.js';
 import { PeerHttpClient } from '../../sidecar/PeerHttpClient.js';
 import { quantile, summarise } from '../Statistics.js';
 import type { Row, Scenario } from '../Types.js';
@@ -118,8 +119,10 @@
     state: 'serving',
     targets: [],
   };
+  const codecs = new PeerCodecs('request-id');
   const server = new HomeServer({
     home,
+    codecs,
     version: () => 1,
     record: () => record,
     conditions: () => [],
@@ -131,6 +134,8 @@
   const client = new PeerHttpClient({
     id: daemon,
     region: record.region,
+    dataCentre: record.dataCentre,
+    codecs,
     clock,
     onVersion: () => {},
     conditions: () => [],
@@ -141,6 +146,7 @@
     ...record,
     recordVersion: recordVersion(record),
     address: `127.0.0.1:${port}`,
+    encoding: newestPeerEncoding,
     target,
     incarnation,
     slots: 5,
--- a/src/common/dispatch/Dispatcher.test.ts
+++ b/src/common/dispatch/Dispatcher.test.ts
@@ -84,6 +84,7 @@
       daemon: brandAs<DaemonId>(name),
       recordVersion: '1/1',
       address: name,
+      encoding: 1,
       region,
       dataCentre,
       target: brandAs<TargetId>(name),
--- a/src/common/dispatch/Dispatcher.ts
+++ b/src/common/dispatch/Dispatcher.ts
@@ -412,7 +412,7 @@
   private recordAnswer(
     { call }: DispatchState,
     candidate: Candidate,
-    { status, body, condition }: TargetAnswer,
+    { status, body, condition, transferred }: TargetAnswer,
     startedAt: number,
   ): void {
     const { directory, statistics, clock } = this.settings;
@@ -420,7 +420,8 @@
     if (condition !== undefined) directory.recordCondition(candidate.target, condition);
     if (status >= firstServerError) return;
     statistics.get(call.route).latencies.record(clock.elapsed() - startedAt);
-    if (Buffer.isBuffer(body)) statistics.recordSize(call.route, call.body.length + body.length);
+    if (!Buffer.isBuffer(body)) return;
+    statistics.recordSize(call.route, call.body.length + body.length, transferred);
   }
 
   private handleFailure(
--- a/src/common/dispatch/Placement.test.ts
+++ b/src/common/dispatch/Placement.test.ts
@@ -27,6 +27,7 @@
     daemon: brandAs<DaemonId>(name),
     recordVersion: '1/1',
     address: name,
+    encoding: 1,
     region: brandAs<Region>(dataCentre.split('-')[0] ?? ''),
     dataCentre: brandAs<DataCentre>(dataCentre),
     target: brandAs<TargetId>(name),
--- a/src/common/dispatch/Types.ts
+++ b/src/common/dispatch/Types.ts
@@ -82,6 +82,8 @@
   readonly headers: readonly HeaderPair[];
   readonly body: Buffer | Readable;
   readonly condition?: TargetCondition;
+  /** Bytes of the exchange with another daemon, both ways and with all headers. */
+  readonly transferred?: number;
 }
 
 /** A home refused the request, which was not run. */
@@ -117,6 +119,8 @@
   readonly recordVersion: string;
   /** `host:port` of the home. */
   readonly address: string;
+  /** Newest encoding of forwarded requests that the home reads. */
+  readonly encoding: number;
   readonly region: Region;
   readonly dataCentre: DataCentre;
   readonly target: TargetId;
--- a/src/common/fleet/FleetDirectory.ts
+++ b/src/common/fleet/FleetDirectory.ts
@@ -285,6 +285,7 @@
       daemon: record.daemon,
       recordVersion: recordVersion(record),
       address: record.address,
+      encoding: record.encoding ?? 1,
       region: record.region,
       dataCentre: record.dataCentre,
       target: target.id,
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -32,6 +32,8 @@
   readonly dataCentre: DataCentre;
   /** `leaving`: it finishes running requests and accepts no new ones. */
   readonly state: 'serving' | 'leaving';
+  /** Newest encoding of forwarded requests that the daemon reads; 1 if it is missing. */
+  readonly encoding?: number;
   readonly targets: readonly PublishedTarget[];
 }
 
--- a/src/sidecar/HomeServer.ts
+++ b/src/sidecar/HomeServer.ts
@@ -2,26 +2,19 @@
 import { buffer } from 'node:stream/consumers';
 import { pipeline } from 'node:stream';
 import type { Disposable, LogSink } from '../api/index.js';
-import { HomeRefusalError, type ConditionReport } from '../common/dispatch/Types.js';
-import { findHeader, pairHeaders } from '../daemon/Headers.js';
+import {
+  HomeRefusalError,
+  type ConditionReport,
+  type HeaderPair,
+  type TargetCondition,
+} from '../common/dispatch/Types.js';
+import { pairHeaders } from '../daemon/Headers.js';
 import { listen } from '../node/listen.js';
 import { encodeRecord, recordVersion } from '../common/fleet/daemonRecords.js';
 import type { DaemonRecord } from '../common/fleet/Types.js';
 import type { Home } from './Home.js';
-import {
-  conditionHeader,
-  decodeRequestMetadata,
-  decodeConditions,
-  encodeConditions,
-  outcomeUnknownHeader,
-  conditionsHeader,
-  requestMetadataHeader,
-  targetReachedHeader,
-  recordHeader,
-  refusalHeader,
-  retryAfterHeader,
-  versionHeader,
-} from './peerHeaders.js';
+import { dropAddedHeaders, type PeerCodecs } from './peer/peerCodecs.js';
+import type { PeerCodec, PeerFailure, PeerRequest } from './peer/Types.js';
 import type { HomeRequest } from './Types.js';
 
 /** Milliseconds for which an idle connection is kept; longer than `PeerHttpClient` keeps it. */
@@ -32,10 +25,8 @@
 const outcomeUnknownStatus = 502;
 const badRequestStatus = 400;
 
-/** Headers that are not forwarded to the target. */
-const internalHeaders: ReadonlySet<string> = new Set([
-  requestMetadataHeader,
-  conditionsHeader,
+/** Headers of the connection between the daemons, which are not forwarded to the target. */
+const connectionHeaders: ReadonlySet<string> = new Set([
   'expect',
   'connection',
   'transfer-encoding',
@@ -49,13 +40,15 @@
   readonly response: ServerResponse;
   /** The entry waits for `100 Continue` before it sends the body. */
   readonly expectsContinue: boolean;
-  /** The entry is in this region. */
-  readonly isSameRegion: boolean;
+  /** Encoding of the entry. */
+  readonly codec: PeerCodec;
+  readonly peerRequest: PeerRequest;
 }
 
 /** Dependencies of `HomeServer`. */
 export interface HomeServerSettings {
   readonly home: Pick<Home, 'run'>;
+  readonly codecs: PeerCodecs;
   /** Current configuration version. */
   readonly version: () => number;
   /** Current record of this daemon. */
@@ -108,37 +101,34 @@
     expectsContinue: boolean,
   ): void {
     const pairs = pairHeaders(request.rawHeaders);
-    const metadata = decodeRequestMetadata(findHeader(pairs, requestMetadataHeader));
+    const decoded = this.settings.codecs.decodeRequest(pairs);
     response.sendDate = false;
     response.on('error', () => response.destroy());
     this.inFlight += 1;
     response.once('close', () => {
       this.inFlight -= 1;
     });
-    if (metadata === undefined) {
+    if (decoded === undefined) {
       response.writeHead(badRequestStatus, { 'content-length': 0 });
       response.end();
       return;
     }
     // Tells the entry at once that this daemon is alive, even if the response takes seconds.
     response.writeProcessing();
+    const { codec, request: peerRequest } = decoded;
+    const { metadata, conditions } = peerRequest;
     this.settings.onVersion(metadata.version);
-    const encodedConditions = findHeader(pairs, conditionsHeader);
-    this.settings.onConditions(decodeConditions(encodedConditions));
+    this.settings.onConditions(conditions ?? []);
     const homeRequest: HomeRequest = {
       ...metadata,
+      entry: metadata.entry === '' ? (request.socket.remoteAddress ?? '') : metadata.entry,
       method: request.method ?? 'GET',
       path: request.url ?? '/',
-      headers: pairs.filter(([name]) => !internalHeaders.has(name.toLowerCase())),
-    };
-    // Only daemons of the same region exchange target conditions.
-    const exchange = {
-      homeRequest,
-      request,
-      response,
-      expectsContinue,
-      isSameRegion: encodedConditions !== undefined,
+      headers: dropAddedHeaders(pairs, codec.headerNames).filter(
+        ([name]) => !connectionHeaders.has(name.toLowerCase()),
+      ),
     };
+    const exchange = { homeRequest, request, response, expectsContinue, codec, peerRequest };
     this.serve(exchange).catch((error: unknown) => this.sendFailure(exchange, error));
   }
 
@@ -151,30 +141,47 @@
       return buffer(request);
     };
     const answer = await this.settings.home.run(homeRequest, receiveBody, abort.signal);
-    const headers = [...answer.headers.flatMap((pair) => [...pair])];
-    headers.push(...Object.entries(this.daemonStateHeaders(exchange)).flat());
-    if (answer.condition !== undefined) {
-      headers.push(conditionHeader, JSON.stringify(answer.condition));
-    }
-    response.writeHead(answer.status, headers);
+    this.writeHead(exchange, answer.status, answer.headers, { condition: answer.condition });
     pipeline(answer.body, response, (error) => {
       // A truncated body resets the connection, so that it is never mistaken for a complete one.
       if (error) response.destroy();
     });
   }
 
-  /** Headers with the state of this daemon, sent in every response. */
-  private daemonStateHeaders({
-    homeRequest,
-    isSameRegion,
-  }: Exchange): Readonly<Record<string, string>> {
-    const { version, record, conditions } = this.settings;
-    const headers: Record<string, string> = { [versionHeader]: String(version()) };
+  /** Writes the head of a response with the state of this daemon, which comes before the headers of the target. */
+  private writeHead(
+    { codec, peerRequest, response }: Exchange,
+    status: number,
+    headers: readonly HeaderPair[],
+    { condition, failure }: { condition?: TargetCondition; failure?: PeerFailure },
+  ): void {
+    const { version, record } = this.settings;
     const current = record();
-    if (isSameRegion) headers[conditionsHeader] = encodeConditions(conditions());
-    if (recordVersion(current) !== homeRequest.recordVersion)
-      headers[recordHeader] = encodeRecord(current);
-    return headers;
+    const sentVersion = peerRequest.metadata.recordVersion;
+    const isKnown = codec.encodeRecordVersion(recordVersion(current)) === sentVersion;
+    const added = codec.encodeResponse({
+      version: version(),
+      condition,
+      conditions: this.conditionsFor(codec, peerRequest),
+      record: isKnown ? undefined : encodeRecord(current),
+      failure,
+    });
+    // Connections persist without the header.
+    response.removeHeader('connection');
+    response.writeHead(
+      status,
+      [...added, ...headers].flatMap((pair) => [...pair]),
+    );
+  }
+
+  /** Target conditions for the entry of a request; daemons of different regions do not exchange them. */
+  private conditionsFor(
+    { maxDistantConditions }: PeerCodec,
+    { conditions, isSameDataCentre }: PeerRequest,
+  ): readonly ConditionReport[] | undefined {
+    if (conditions === undefined) return undefined;
+    const known = this.settings.conditions();
+    return isSameDataCentre ? known : known.slice(0, maxDistantConditions);
   }
 
   private sendFailure(exchange: Exchange, error: unknown): void {
@@ -184,17 +191,16 @@
       return;
     }
     request.resume();
-    const headers: Record<string, string | number> = {
-      'content-length': 0,
-      ...this.daemonStateHeaders(exchange),
-    };
+    const headers: readonly HeaderPair[] = [['content-length', '0']];
     if (error instanceof HomeRefusalError) {
-      const { condition, retryAfter, hasReachedTarget } = error.details;
-      headers[refusalHeader] = error.reason;
-      if (condition !== undefined) headers[conditionHeader] = JSON.stringify(condition);
-      if (retryAfter !== undefined) headers[retryAfterHeader] = Math.round(retryAfter);
-      if (hasReachedTarget === true) headers[targetReachedHeader] = 1;
-      response.writeHead(refusalStatus, headers);
+      const { condition, retryAfter, hasReachedTarget = false } = error.details;
+      const failure = {
+        type: 'refused',
+        reason: error.reason,
+        retryAfter,
+        hasReachedTarget,
+      } as const;
+      this.writeHead(exchange, refusalStatus, headers, { condition, failure });
     } else {
       this.settings.log.write({
         level: 'info',
@@ -202,8 +208,7 @@
         message: String(error),
         fields: { step: 'home.answer', request: homeRequest.id, target: homeRequest.target },
       });
-      headers[outcomeUnknownHeader] = 1;
-      response.writeHead(outcomeUnknownStatus, headers);
+      this.writeHead(exchange, outcomeUnknownStatus, headers, { failure: { type: 'unknown' } });
     }
     response.end();
   }
--- a/src/sidecar/PeerHttpClient.ts
+++ b/src/sidecar/PeerHttpClient.ts
@@ -4,6 +4,7 @@
   type ClientRequest,
   type IncomingMessage,
 } from 'node:http';
+import type { Socket } from 'node:net';
 import { OutcomeUnknownError, type Clock, type DaemonId, type Disposable } from '../api/index.js';
 import {
   HomeRefusalError,
@@ -11,31 +12,19 @@
   type Candidate,
   type ConditionReport,
   type AttemptRequest,
+  type HeaderPair,
   type TargetAnswer,
+  type TargetCondition,
 } from '../common/dispatch/Types.js';
 import { decodeRecord } from '../common/fleet/daemonRecords.js';
 import type { DaemonRecord } from '../common/fleet/Types.js';
-import { dropHopByHop, findHeader, pairHeaders } from '../daemon/Headers.js';
+import { dropHopByHop, pairHeaders } from '../daemon/Headers.js';
 import { skipBody } from '../daemon/streams.js';
 import { bufferSmallBody } from './bufferSmallBody.js';
 import { limitOverhead } from './limitOverhead.js';
-import {
-  conditionHeader,
-  createRequestMetadata,
-  decodeCondition,
-  decodeConditions,
-  decodeRefusalReason,
-  encodeConditions,
-  encodeRequestMetadata,
-  outcomeUnknownHeader,
-  conditionsHeader,
-  requestMetadataHeader,
-  targetReachedHeader,
-  refusalHeader,
-  retryAfterHeader,
-  recordHeader,
-  versionHeader,
-} from './peerHeaders.js';
+import { createRequestMetadata } from './peer/createRequestMetadata.js';
+import { dropAddedHeaders, type PeerCodecs } from './peer/peerCodecs.js';
+import type { PeerCodec, PeerFailure } from './peer/Types.js';
 
 /** Milliseconds for which an idle connection is kept; shorter than `HomeServer` keeps it. */
 const idleTimeout = 20_000;
@@ -47,22 +36,23 @@
 const crossRegionAllowance = 250;
 const fallbackStatus = 502;
 
-/** Headers for the entry, not forwarded to the caller. */
-const internalHeaders: ReadonlySet<string> = new Set([
-  conditionHeader,
-  refusalHeader,
-  retryAfterHeader,
-  targetReachedHeader,
-  versionHeader,
-  recordHeader,
-  conditionsHeader,
-  outcomeUnknownHeader,
-]);
+/** Failure of an exchange whose response comes from no daemon. */
+const notHome = {
+  failure: { type: 'refused', reason: 'not-home', retryAfter: undefined, hasReachedTarget: false },
+  condition: undefined,
+} as const;
+
+/** Bytes that a connection has sent and received. */
+function transferredBytes({ bytesRead, bytesWritten }: Socket): number {
+  return bytesRead + bytesWritten;
+}
 
 /** Dependencies of `PeerHttpClient`. */
 export interface PeerHttpClientSettings {
   readonly id: DaemonId;
   readonly region: string;
+  readonly dataCentre: string;
+  readonly codecs: PeerCodecs;
   readonly clock: Clock;
   /** Called with the configuration version of a responding daemon. */
   readonly onVersion: (version: number) => void;
@@ -79,6 +69,10 @@
   readonly candidate: Candidate;
   readonly attempt: AttemptRequest;
   readonly request: ClientRequest;
+  /** Encoding that the home reads. */
+  readonly codec: PeerCodec;
+  /** Connection of the exchange and the bytes that it had transferred before. */
+  connection: { readonly socket: Socket; readonly bytesBefore: number } | undefined;
   /** Whether the body was sent, so that the home may run the request. */
   hasSentBody: boolean;
   /** Whether the home sent `102 Processing`, `100 Continue` or a response. */
@@ -146,14 +140,12 @@
   private openRequest(candidate: Candidate, attempt: AttemptRequest): Exchange {
     const { call } = attempt;
     const [host = '', port = ''] = candidate.address.split(/:(?=\d+$)/);
-    const head = encodeRequestMetadata(createRequestMetadata(candidate, attempt, this.settings.id));
-    const headers = call.headers.flatMap(([name, value]) =>
-      name.toLowerCase() === 'content-length' ? [] : [name, value],
-    );
-    headers.push(requestMetadataHeader, head);
-    if (candidate.region === this.settings.region) {
-      headers.push(conditionsHeader, encodeConditions(this.settings.conditions()));
-    }
+    const codec = this.settings.codecs.select(candidate.encoding);
+    const added = this.encodeRequest(candidate, attempt, codec);
+    const headers = added.flatMap((pair) => [...pair]);
+    call.headers.forEach(([name, value]) => {
+      if (name.toLowerCase() !== 'content-length') headers.push(name, value);
+    });
     if (!call.route.isIdempotent) headers.push('expect', '100-continue');
     if (!call.route.isIdempotent || call.body.length > 0) {
       // Chunked encoding allows ending a refused request without sending its body.
@@ -170,7 +162,36 @@
     });
     request.setNoDelay(true);
     limitOverhead(request);
-    return { candidate, attempt, request, hasSentBody: false, hasResponded: false };
+    const exchange: Exchange = {
+      candidate,
+      attempt,
+      request,
+      codec,
+      connection: undefined,
+      hasSentBody: false,
+      hasResponded: false,
+    };
+    request.once('socket', (socket) => {
+      exchange.connection = { socket, bytesBefore: transferredBytes(socket) };
+    });
+    return exchange;
+  }
+
+  private encodeRequest(
+    candidate: Candidate,
+    attempt: AttemptRequest,
+    codec: PeerCodec,
+  ): HeaderPair[] {
+    const { id, region, dataCentre } = this.settings;
+    const metadata = createRequestMetadata(candidate, attempt, id);
+    const recordVersion = codec.encodeRecordVersion(candidate.recordVersion);
+    const isSameDataCentre = candidate.dataCentre === dataCentre;
+    const known = candidate.region === region ? this.settings.conditions() : undefined;
+    return codec.encodeRequest({
+      metadata: { ...metadata, recordVersion },
+      isSameDataCentre,
+      conditions: isSameDataCentre ? known : known?.slice(0, codec.maxDistantConditions),
+    });
   }
 
   private sendBody(exchange: Exchange): void {
@@ -217,38 +238,51 @@
   }
 
   private async readResponse(exchange: Exchange, response: IncomingMessage): Promise<TargetAnswer> {
-    const { candidate, request } = exchange;
+    const { candidate, codec } = exchange;
     const pairs = pairHeaders(response.rawHeaders);
-    const version = Number(findHeader(pairs, versionHeader));
-    if (version > 0) this.settings.onVersion(version);
-    this.settings.onConditions(decodeConditions(findHeader(pairs, conditionsHeader)));
-    const record = decodeRecord(findHeader(pairs, recordHeader) ?? '');
-    if (record !== undefined) this.settings.onRecord(record);
-    const condition = decodeCondition(findHeader(pairs, conditionHeader));
-    const refusal = findHeader(pairs, refusalHeader);
+    const state = codec.decodeResponse(pairs);
     const status = response.statusCode ?? fallbackStatus;
-    const origin = { step: 'peer.answer', peer: candidate.daemon };
-    // A response without a version does not come from a daemon.
-    if (refusal !== undefined || Number.isNaN(version)) {
-      // Ends a request without its body, so that the connection can be reused.
-      if (!exchange.hasSentBody) request.end();
-      skipBody(response);
-      const retryAfter = Number(findHeader(pairs, retryAfterHeader) ?? 0) || undefined;
-      const hasReachedTarget = findHeader(pairs, targetReachedHeader) !== undefined;
-      const details = { condition, retryAfter, hasReachedTarget };
-      const reason = decodeRefusalReason(refusal ?? 'not-home');
-      throw new HomeRefusalError(reason, `the home refused: ${reason}`, origin, details);
-    }
-    const headers = dropHopByHop(pairs).filter(([name]) => !internalHeaders.has(name));
-    if (findHeader(pairs, outcomeUnknownHeader) !== undefined) {
-      skipBody(response);
-      throw new OutcomeUnknownError('the target gave no usable response', origin);
+    // A response without the state of a home does not come from a daemon.
+    if (state === undefined) {
+      throw this.endFailed(exchange, response, notHome);
     }
+    const { version, conditions, condition, failure } = state;
+    this.settings.onVersion(version);
+    this.settings.onConditions(conditions ?? []);
+    const record = decodeRecord(state.record ?? '');
+    if (record !== undefined) this.settings.onRecord(record);
+    if (failure !== undefined) throw this.endFailed(exchange, response, { failure, condition });
+    let transferred: number | undefined;
+    response.once('end', () => {
+      const { connection } = exchange;
+      if (connection === undefined) return;
+      transferred = transferredBytes(connection.socket) - connection.bytesBefore;
+    });
     try {
       const body = await bufferSmallBody(response, () => response.complete);
-      return { status, headers, body, condition };
+      const headers = dropHopByHop(dropAddedHeaders(pairs, codec.headerNames));
+      return { status, headers, body, condition, transferred };
     } catch (cause) {
-      throw new OutcomeUnknownError('the response was truncated', { ...origin, cause });
+      const origin = { step: 'peer.answer', peer: candidate.daemon, cause };
+      throw new OutcomeUnknownError('the response was truncated', origin);
+    }
+  }
+
+  /** Ends an exchange without a response of the target, and returns its error. */
+  private endFailed(
+    { candidate, request, hasSentBody }: Exchange,
+    response: IncomingMessage,
+    { failure, condition }: { failure: PeerFailure; condition: TargetCondition | undefined },
+  ): Error {
+    const origin = { step: 'peer.answer', peer: candidate.daemon };
+    // Ends a request without its body, so that the connection can be reused.
+    if (!hasSentBody) request.end();
+    skipBody(response);
+    if (failure.type === 'unknown') {
+      return new OutcomeUnknownError('the target gave no usable response', origin);
     }
+    const { reason, retryAfter, hasReachedTarget } = failure;
+    const details = { condition, retryAfter, hasReachedTarget };
+    return new HomeRefusalError(reason, `the home refused: ${reason}`, origin, details);
   }
 }
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -35,7 +35,8 @@
 import { bufferSmallBody } from './bufferSmallBody.js';
 import { Home } from './Home.js';
 import { HomeServer } from './HomeServer.js';
-import { createRequestMetadata } from './peerHeaders.js';
+import { createRequestMetadata } from './peer/createRequestMetadata.js';
+import { newestPeerEncoding, PeerCodecs } from './peer/peerCodecs.js';
 import { PeerHttpClient } from './PeerHttpClient.js';
 import type { SidecarSettings } from './Settings.js';
 import { SidecarMetrics } from './SidecarMetrics.js';
@@ -176,10 +177,13 @@
     const onConditions = (reports: readonly ConditionReport[]): void =>
       this.directory.mergeConditions(reports);
     const conditions = (): readonly ConditionReport[] => this.collectConditions();
+    const codecs = new PeerCodecs(names.requestId);
     this.peers = this.disposables.add(
       new PeerHttpClient({
         id: settings.id,
         region: settings.region,
+        dataCentre: settings.dataCentre,
+        codecs,
         clock,
         onVersion,
         conditions,
@@ -190,6 +194,7 @@
     this.homeServer = this.disposables.add(
       new HomeServer({
         home: this.home,
+        codecs,
         version: () => this.traffic.version,
         record: () => this.record,
         conditions,
@@ -414,6 +419,7 @@
       region,
       dataCentre,
       state: this.isStopping ? 'leaving' : 'serving',
+      encoding: newestPeerEncoding,
       targets: this.home.publishedTargets,
     };
   }
--- a/src/sidecar/endlessResponses.test.ts
+++ b/src/sidecar/endlessResponses.test.ts
@@ -22,7 +22,8 @@
 import { Home } from './Home.js';
 import { HomeServer } from './HomeServer.js';
 import { PeerHttpClient } from './PeerHttpClient.js';
-import { createRequestMetadata } from './peerHeaders.js';
+import { createRequestMetadata } from './peer/createRequestMetadata.js';
+import { newestPeerEncoding, PeerCodecs } from './peer/peerCodecs.js';
 import type { HeaderNames } from './Types.js';
 
 const names: HeaderNames = {
@@ -251,6 +252,7 @@
     daemon,
     recordVersion: '1/1',
     address: peerAddress,
+    encoding: newestPeerEncoding,
     region,
     dataCentre,
     target,
@@ -308,8 +310,10 @@
       state: 'ready',
       warmUp: 0,
     });
+    const codecs = new PeerCodecs(names.requestId);
     server = new HomeServer({
       home,
+      codecs,
       version: () => 1,
       record: () => ({
         daemon,
@@ -330,6 +334,8 @@
     peers = new PeerHttpClient({
       id: brandAs<DaemonId>('d-2'),
       region,
+      dataCentre,
+      codecs,
       clock,
       onVersion: () => {},
       conditions: () => [],
--- a/src/testing/SimulatedFleet.ts
+++ b/src/testing/SimulatedFleet.ts
@@ -27,7 +27,7 @@
 import type { TrafficRoute } from '../common/routing/TrafficTypes.js';
 import { TargetFailure } from '../daemon/TargetFailure.js';
 import { Home } from '../sidecar/Home.js';
-import { createRequestMetadata } from '../sidecar/peerHeaders.js';
+import { createRequestMetadata } from '../sidecar/peer/createRequestMetadata.js';
 import type { HomeRequest, StreamedResponse, TargetConnection } from '../sidecar/Types.js';
 
 /** One-way network delays within a region and between regions. */
