Weigh leaving the data centre by settings, and stay there for longer

Callers lost nothing when a request waited some hundred milliseconds at a near target, but the entry sent it to another data centre for a wait of 5 ms a kilobyte. The costs were constants chosen at the prices of the first two deployments.

Found on the way: the distance grew without limit with the size of an answer, so a large one preferred a target that was probably unhealthy to one elsewhere; it is at most the latency goal now, three times the goal between regions. A target whose queue the home would refuse ranked by its wait alone, so a near one could win and the caller was refused while another data centre had a free slot. Trial requests went to any suspected target of the region; each data centre tries its own now.

--- a/src/common/dispatch/Dispatcher.ts
+++ b/src/common/dispatch/Dispatcher.ts
@@ -343,18 +343,19 @@
     const { latencies, kilobytes } = statistics.get(call.route);
     const candidates = directory.candidates(call.service);
     const { isIdempotent, maxAttempts } = call.route;
+    const remaining = this.remaining(state) - answerMargin;
+    // A request that would be answered late is refused with a retry time, which keeps the queue short for the others.
+    const maxQueueWait = Math.max(0, Math.min(remaining, call.route.goal) - latencies.median);
     const context = {
       call,
       kilobytes,
       hedgeDelay: hedgeDelay(latencies, 0),
+      maxQueueWait,
       isLast: !isIdempotent || state.sent + 1 >= maxAttempts,
     };
     const eligible = candidates.filter(({ target }) => !state.excluded.has(target));
     const [best] = placement.rank(eligible, context);
     if (best === undefined) return this.createNoTargetError(state);
-    const remaining = this.remaining(state) - answerMargin;
-    // A request that would be answered late is refused with a retry time, which keeps the queue short for the others.
-    const maxQueueWait = Math.max(0, Math.min(remaining, call.route.goal) - latencies.median);
     if (best.wait > maxQueueWait) {
       // The queue is ordered by urgency, so only the home knows how many queued requests go first.
       if (state.longQueueAsks >= maxLongQueueAsks)
--- a/src/common/dispatch/Placement.ts
+++ b/src/common/dispatch/Placement.ts
@@ -3,17 +3,6 @@
 import { decayLogOdds, logistic, priorLogOdds } from '../health/HealthEstimator.js';
 import type { Candidate, IncomingCall } from './Types.js';
 
-/** Round trip to another data centre of the region in milliseconds. */
-const dataCentreRoundTrip = 2;
-/**
- * Cost in milliseconds of one kilobyte sent to another data centre. At the prices of both deployments, the traffic costs
- * as much as the value that an answer loses by this delay.
- */
-const dataCentreCostPerKilobyte = 5;
-/** Round trip to the other region in milliseconds. */
-const regionRoundTrip = 40;
-/** Cost in milliseconds of one kilobyte sent to the other region. */
-const regionCostPerKilobyte = 60;
 /** Random cost in milliseconds, so that entries do not all choose the same one of nearly equal targets. */
 const tieRange = 15;
 /** Half-life of the weight of a reported load in milliseconds. */
@@ -31,6 +20,28 @@
 /** Unhealthy probability above which a target gets trial requests; its home limits their rate. */
 const trialProbability = 0.3;
 
+/** Cost of leaving a data centre or a region, as the milliseconds of waiting that are as bad. */
+export interface DistanceCost {
+  /** Milliseconds for each request, the round trip included. */
+  readonly fixed: number;
+  /** Milliseconds for each kilobyte of the request and its answer. */
+  readonly perKilobyte: number;
+}
+
+/** Costs of distance, set by the operators. */
+export interface Locality {
+  /** To another data centre of the region. */
+  readonly dataCentre: DistanceCost;
+  /** To another region. */
+  readonly region: DistanceCost;
+}
+
+/** Costs of distance without settings. */
+export const defaultLocality: Locality = {
+  dataCentre: { fixed: 250, perKilobyte: 50 },
+  region: { fixed: 300, perKilobyte: 100 },
+};
+
 /** A candidate with the expected cost of a request there. */
 export interface RankedCandidate {
   readonly candidate: Candidate;
@@ -70,6 +81,8 @@
   readonly kilobytes: number;
   /** Milliseconds after which the request is hedged if its target hangs. */
   readonly hedgeDelay: number;
+  /** Milliseconds for which the request may wait for a slot. */
+  readonly maxQueueWait: number;
   /** Whether this is the last attempt. */
   readonly isLast: boolean;
 }
@@ -81,6 +94,7 @@
 export class Placement {
   public constructor(
     private readonly location: Location,
+    private readonly locality: Locality,
     private readonly random: RandomSource,
   ) {}
 
@@ -92,7 +106,7 @@
   }
 
   private rate(candidate: Candidate, context: PlacementContext): RankedCandidate {
-    const { call, kilobytes, hedgeDelay, isLast } = context;
+    const { call, kilobytes, hedgeDelay, maxQueueWait, isLast } = context;
     const wait = expectedWait(candidate);
     const unhealthyProbability = logistic(
       candidate.condition === undefined
@@ -104,11 +118,14 @@
     const isLostIfUnhealthy = isLast || unhealthyProbability > refusedProbability;
     const loss = isLostIfUnhealthy ? lossCost * call.route.goal : hedgeDelay;
     const isRemote = candidate.region !== this.location.region;
+    // A home refuses what would wait longer, however near it is.
+    const refusal = wait > maxQueueWait ? lossCost * call.route.goal : 0;
     const cost =
       wait +
+      refusal +
       occupancy(candidate) * work * occupancyCost +
       unhealthyProbability * loss +
-      this.distance(candidate, kilobytes) +
+      this.distance(candidate, kilobytes, call.route.goal) +
       this.random() * tieRange;
     return {
       candidate,
@@ -120,16 +137,23 @@
     };
   }
 
-  private distance({ region, dataCentre }: Candidate, kilobytes: number): number {
-    if (region !== this.location.region) return regionRoundTrip + kilobytes * regionCostPerKilobyte;
-    if (dataCentre === this.location.dataCentre) return 0;
-    return dataCentreRoundTrip + kilobytes * dataCentreCostPerKilobyte;
+  /** Cost of the distance, which for a large answer is at most that of an answer that is late or lost. */
+  private distance({ region, dataCentre }: Candidate, kilobytes: number, goal: number): number {
+    const isSameRegion = region === this.location.region;
+    if (isSameRegion && dataCentre === this.location.dataCentre) return 0;
+    const { fixed, perKilobyte } = isSameRegion ? this.locality.dataCentre : this.locality.region;
+    return Math.min(fixed + kilobytes * perKilobyte, isSameRegion ? goal : lossCost * goal);
   }
 
-  /** Ranks a suspected target of this region first for a share of the requests that can be retried elsewhere. */
+  /**
+   * Ranks a suspected target first for a share of the requests that can be retried elsewhere. Each data centre tries its
+   * own targets; one that has none of the service tries those of its region.
+   */
   private preferTrial(ranked: RankedCandidate[]): RankedCandidate[] {
     if (this.random() >= trialShare) return ranked;
-    const suspected = ranked.filter(
+    const { dataCentre } = this.location;
+    const own = ranked.filter(({ candidate }) => candidate.dataCentre === dataCentre);
+    const suspected = (own.length > 0 ? own : ranked).filter(
       ({ unhealthyProbability, isRemote, wait }) =>
         !isRemote && wait === 0 && unhealthyProbability > trialProbability,
     );
--- a/src/sidecar/Settings.ts
+++ b/src/sidecar/Settings.ts
@@ -23,6 +23,7 @@
   withDefault,
   type Settings,
 } from '../common/settings/index.js';
+import { defaultLocality, type Locality } from '../common/dispatch/Placement.js';
 
 /** Settings of a daemon on the VM of one target. */
 export interface SidecarSettings {
@@ -55,6 +56,8 @@
   readonly retryWindow: number;
   /** Milliseconds from the stop signal until the process ends. */
   readonly grace: number;
+  /** Costs of sending requests to other data centres and regions. */
+  readonly locality: Locality;
   readonly logLevel: LogLevel;
 }
 
@@ -87,6 +90,15 @@
     slack: withDefault(decimal(), 0),
     window: withDefault(duration(), defaultWindow),
   }),
+  locality: single({
+    'data-centre-cost': withDefault(duration(), defaultLocality.dataCentre.fixed),
+    'data-centre-cost-per-kilobyte': withDefault(
+      duration(),
+      defaultLocality.dataCentre.perKilobyte,
+    ),
+    'region-cost': withDefault(duration(), defaultLocality.region.fixed),
+    'region-cost-per-kilobyte': withDefault(duration(), defaultLocality.region.perKilobyte),
+  }),
   log: single({ level: withDefault(choice('debug', 'info', 'warn', 'error'), 'info') }),
 };
 
@@ -103,6 +115,7 @@
       listen,
       store,
       retries,
+      locality,
       log,
     }: Settings<typeof schema>): SidecarSettings => ({
       id: brandAs<DaemonId>(daemon.id),
@@ -117,6 +130,16 @@
       retryRatio: retries.ratio,
       retrySlack: retries.slack,
       retryWindow: retries.window,
+      locality: {
+        dataCentre: {
+          fixed: locality['data-centre-cost'],
+          perKilobyte: locality['data-centre-cost-per-kilobyte'],
+        },
+        region: {
+          fixed: locality['region-cost'],
+          perKilobyte: locality['region-cost-per-kilobyte'],
+        },
+      },
       logLevel: log.level,
     }),
   )(settings);
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -304,7 +304,7 @@
     return new Dispatcher({
       clock,
       directory,
-      placement: new Placement(settings, random),
+      placement: new Placement(settings, settings.locality, random),
       statistics: routeStatistics,
       send: (candidate, attempt, signal) => this.send(candidate, attempt, signal),
       version: () => traffic.version,
--- a/src/testing/SimulatedFleet.ts
+++ b/src/testing/SimulatedFleet.ts
@@ -15,7 +15,7 @@
   type TargetId,
 } from '../api/index.js';
 import { Dispatcher } from '../common/dispatch/Dispatcher.js';
-import { Placement } from '../common/dispatch/Placement.js';
+import { defaultLocality, Placement } from '../common/dispatch/Placement.js';
 import { RouteStatistics } from '../common/dispatch/RouteStatistics.js';
 import {
   HomeRefusalError,
@@ -184,7 +184,7 @@
     const dispatcher = new Dispatcher({
       clock,
       directory,
-      placement: new Placement({ region, dataCentre }, random),
+      placement: new Placement({ region, dataCentre }, defaultLocality, random),
       statistics: new RouteStatistics(),
       send: (candidate, attempt, signal) => this.send(index, candidate, attempt, signal),
       version: () => 1,
