Relay the store's changes within a data centre

Every daemon polled the store for the configuration and the fleet.

In each data centre the daemon that ranks first for a prefix polls the store now, and the others poll it (RelayedStore, RelaySelector, StoreMirror). Each response bears the time since the store confirmed the state. A follower leaves a relay that does not answer or whose state is too old, asks the next one, then the store; a daemon that is followed reads the store itself, so relays form no cycle.

With it: a daemon writes its record again only if a state from after its last write lacks it; it asks another source for a newer configuration 0.4 s after a peer has shown one, instead of at once; the records of crashing requests are taken from the mirror instead of one more call at each start.

--- a/src/common/fleet/FleetDirectory.ts
+++ b/src/common/fleet/FleetDirectory.ts
@@ -1,4 +1,4 @@
-import type { Clock, DaemonId, LogSink, ServiceName, TargetId } from '../base/index.js';
+import type { Clock, DaemonId, DataCentre, LogSink, ServiceName, TargetId } from '../base/index.js';
 import type { Candidate, ConditionReport, TargetCondition } from '../dispatch/Types.js';
 import { decayLogOdds, logistic, priorLogOdds } from '../health/HealthEstimator.js';
 import { recordVersion } from './daemonRecords.js';
@@ -234,6 +234,26 @@
     return worse.length < Math.ceil(targets.length * maxExcludedShare);
   }
 
+  /** Daemons of a data centre that are serving and reachable and read this encoding of requests. */
+  public daemonsOf(dataCentre: DataCentre, encoding: number): readonly DaemonId[] {
+    const now = this.clock.elapsed();
+    return [...this.peers.values()]
+      .filter(
+        ({ record, unlistedAt, backoffUntil }) =>
+          record.dataCentre === dataCentre &&
+          record.state === 'serving' &&
+          (record.encoding ?? 1) >= encoding &&
+          unlistedAt === undefined &&
+          backoffUntil <= now,
+      )
+      .map(({ record }) => record.daemon);
+  }
+
+  /** `host:port` at which a daemon can be reached; undefined if it is unknown. */
+  public addressOf(daemon: DaemonId): string | undefined {
+    return this.peers.get(daemon)?.record.address;
+  }
+
   /** Number of targets of a service, including those that are not used now. */
   public countTargets(service: ServiceName): number {
     return this.targetsOf(service).length;
--- a/src/common/fleet/PrefixWatcher.ts
+++ b/src/common/fleet/PrefixWatcher.ts
@@ -19,7 +19,7 @@
 
 /** Settings and dependencies of a watcher. */
 export interface PrefixWatcherSettings {
-  readonly store: PolledStore;
+  readonly store: Pick<PolledStore, 'snapshot' | 'changes'>;
   readonly prefix: string;
   /** Milliseconds that the store holds a poll without changes. */
   readonly pollTimeout: number;
--- a/src/common/fleet/Registration.test.ts
+++ b/src/common/fleet/Registration.test.ts
@@ -51,12 +51,22 @@
     });
   });
 
+  it('does not write its key again for a state from before it was written', async () => {
+    const { clock, store, registration } = create();
+    const before = store.lastRevision;
+    registration.publish('one');
+    await clock.advanceAsync(200);
+    registration.markLost(before);
+    await clock.advanceAsync(200);
+    expect(store.callCounts.transact).to.equal(1);
+  });
+
   it('writes its key again when the lease was revoked without notice', async () => {
     const { clock, store, registration } = create();
     registration.publish('one');
     await clock.advanceAsync(100);
     store.remove(key);
-    registration.markLost();
+    registration.markLost(store.lastRevision);
     await clock.advanceAsync(200);
     expect(store.getText(key)).to.equal('one');
   });
--- a/src/common/fleet/Registration.ts
+++ b/src/common/fleet/Registration.ts
@@ -51,9 +51,12 @@
     this.schedule();
   }
 
-  /** Reports that the key is no longer in the store, since the lease was revoked without notice. */
-  public markLost(): void {
-    if (this.written === undefined) return;
+  /**
+   * Reports that the key was not in the store at a revision, since the lease was revoked without notice. A state from
+   * before the last write tells nothing.
+   */
+  public markLost(revision: number): void {
+    if (this.written === undefined || revision < this.modRevision) return;
     this.written = undefined;
     this.lease = undefined;
     this.modRevision = 0;
--- /dev/null
+++ b/src/common/fleet/RelaySelector.ts
@@ -0,0 +1,70 @@
+import { rankByRendezvous, type Clock, type DaemonId } from '../base/index.js';
+
+/** Milliseconds for which a daemon reads the store itself after another one has followed it. */
+const servingTime = 10_000;
+/** Milliseconds for which a daemon is not asked after it failed as a relay. */
+const avoidanceTime = 6_000;
+/** Relays that are tried before the store. */
+const maxRelays = 2;
+
+/** Where a daemon reads the changes of the store: a relay in its data centre, or the store itself. */
+export type ChangeSource =
+  { readonly type: 'store' } | { readonly type: 'relay'; readonly daemon: DaemonId };
+
+/** Daemons that can be relays, as the selector needs them. */
+/** Daemons of this data centre that are serving and can relay, this one included. */
+export type RelayCandidates = () => readonly DaemonId[];
+
+/**
+ * Chooses where this daemon reads the changes of the store. In each data centre the daemon that ranks first for a prefix
+ * reads the store and relays to the others, so the calls to the store do not grow with the fleet. The order is the same
+ * at all daemons, and a daemon that is followed reads the store itself, so relays do not form a cycle.
+ */
+export class RelaySelector {
+  private readonly avoidedUntil = new Map<DaemonId, number>();
+
+  private followedAt = -Infinity;
+
+  /** Relays that failed since the last successful call. */
+  private failures = 0;
+
+  public constructor(
+    private readonly self: DaemonId,
+    /** Key of the ranking, so that different prefixes have different relays. */
+    private readonly key: string,
+    private readonly candidates: RelayCandidates,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Records that another daemon follows this one. */
+  public recordFollower(): void {
+    this.followedAt = this.clock.elapsed();
+  }
+
+  /** Source of the next call. */
+  public choose(): ChangeSource {
+    const now = this.clock.elapsed();
+    if (now - this.followedAt < servingTime || this.failures >= maxRelays) return { type: 'store' };
+    const [first] = rankByRendezvous(this.key, this.candidates()).filter(
+      (daemon) => daemon === this.self || (this.avoidedUntil.get(daemon) ?? 0) <= now,
+    );
+    if (first === undefined || first === this.self) return { type: 'store' };
+    return { type: 'relay', daemon: first };
+  }
+
+  /** Records a successful call. */
+  public recordSuccess(source: ChangeSource): void {
+    this.failures = 0;
+    if (source.type === 'relay') this.avoidedUntil.delete(source.daemon);
+  }
+
+  /** Records a failed call; a relay fails too if its state is too old. */
+  public recordFailure(source: ChangeSource): void {
+    if (source.type === 'store') {
+      this.failures = 0;
+      return;
+    }
+    this.failures += 1;
+    this.avoidedUntil.set(source.daemon, this.clock.elapsed() + avoidanceTime);
+  }
+}
--- a/src/common/fleet/SharedWatchStore.ts
+++ b/src/common/fleet/SharedWatchStore.ts
@@ -1,7 +1,7 @@
 import { DisposableStore, Emitter } from '../base/index.js';
 import type { Store, StoreChange, StoreEntry, StoreRange, StoreWatch } from '../services/Types.js';
 import type { PrefixWatcher } from './PrefixWatcher.js';
-import type { PolledStore } from './Types.js';
+import type { PolledStore, StoreSnapshot } from './Types.js';
 
 /** Store operations that record owners need: reads, conditional writes and watches. */
 export type RecordStore = Pick<Store, 'get' | 'range' | 'transact' | 'watch'>;
@@ -13,15 +13,19 @@
   public readonly transact: RecordStore['transact'];
 
   public constructor(
-    private readonly store: Pick<PolledStore, 'get' | 'transact' | 'snapshot'>,
+    store: Pick<PolledStore, 'get' | 'transact'>,
     private readonly watcher: Pick<PrefixWatcher, 'onChanges' | 'onSnapshot'>,
+    /** Entries that the watcher has delivered so far; undefined before its first snapshot. */
+    private readonly known: () => StoreSnapshot | undefined,
   ) {
     this.get = (key) => store.get(key);
     this.transact = (compares, writes) => store.transact(compares, writes);
   }
 
-  public async range({ prefix }: StoreRange): Promise<readonly StoreEntry[]> {
-    return (await this.store.snapshot(prefix)).entries;
+  /** Entries that are known here, since a watch also delivers those of the first snapshot. */
+  public range({ prefix }: StoreRange): Promise<readonly StoreEntry[]> {
+    const entries = this.known()?.entries ?? [];
+    return Promise.resolve(entries.filter(({ key }) => key.startsWith(prefix)));
   }
 
   /** Delivers the changes under `prefix`, and all entries after each new snapshot of the watcher. */
--- /dev/null
+++ b/src/common/fleet/StoreMirror.test.ts
@@ -0,0 +1,104 @@
+import { expect } from 'chai';
+import { VirtualClock } from '../base/index.js';
+import type { StoreChange } from '../services/Types.js';
+import { RevisionCompactedError } from './errors.js';
+import { StoreMirror } from './StoreMirror.js';
+
+const put = (key: string, modRevision: number): StoreChange => ({
+  type: 'put',
+  entry: { key, value: Buffer.from(key), modRevision },
+});
+const removal = (key: string, modRevision: number): StoreChange => ({
+  type: 'delete',
+  entry: { key, value: new Uint8Array(), modRevision },
+});
+const describeChanges = (changes: readonly StoreChange[]): string[] =>
+  changes.map(({ type, entry }) => `${type} ${entry.key} ${entry.modRevision}`);
+
+/** Mirror with the keys a (revision 3) and b (revision 5), read at revision 6. */
+function create() {
+  const clock = new VirtualClock();
+  const mirror = new StoreMirror(clock);
+  const entries = [put('a', 3).entry, put('b', 5).entry];
+  mirror.replace({ entries, revision: 6 }, 0);
+  return { clock, mirror };
+}
+
+describe('StoreMirror', () => {
+  const cases: readonly {
+    readonly name: string;
+    readonly changes: readonly StoreChange[];
+    readonly after: number;
+    readonly result: readonly string[];
+  }[] = [
+    { name: 'nothing new', changes: [], after: 6, result: [] },
+    {
+      name: 'the changes after a revision, oldest first',
+      changes: [put('c', 7), put('a', 8)],
+      after: 6,
+      result: ['put c 7', 'put a 8'],
+    },
+    {
+      name: 'only the last change of a key',
+      changes: [put('a', 7), put('a', 9)],
+      after: 6,
+      result: ['put a 9'],
+    },
+    {
+      name: 'a deletion',
+      changes: [put('c', 7), removal('a', 8)],
+      after: 7,
+      result: ['delete a 8'],
+    },
+    {
+      name: 'no change that is older than the known one',
+      changes: [put('a', 9), put('a', 7)],
+      after: 6,
+      result: ['put a 9'],
+    },
+  ];
+  cases.forEach(({ name, changes, after, result }) => {
+    it(`tells a follower ${name}`, () => {
+      const { mirror } = create();
+      mirror.add({ changes, revision: 10 }, 0);
+      expect(describeChanges(mirror.changesAfter(after).changes)).to.deep.equal(result);
+      expect(mirror.changesAfter(after).revision).to.equal(10);
+    });
+  });
+
+  it('does not tell a follower from before the snapshot the changes, since deletions may be missing', () => {
+    const { mirror } = create();
+    expect(() => mirror.changesAfter(5)).to.throw(RevisionCompactedError);
+  });
+
+  it('sends followers to the snapshot once it has dropped a deletion that they may miss', () => {
+    const { mirror } = create();
+    for (let revision = 7; revision < 2_007; revision += 1) {
+      mirror.add({ changes: [removal(`k${revision}`, revision)], revision }, 0);
+    }
+    expect(() => mirror.changesAfter(6)).to.throw(RevisionCompactedError);
+    expect(mirror.changesAfter(1_500).changes).to.have.length(506);
+  });
+
+  it('does not go back to an older snapshot', () => {
+    const { mirror } = create();
+    mirror.add({ changes: [removal('a', 8)], revision: 8 }, 0);
+    mirror.replace({ entries: [put('a', 3).entry], revision: 7 }, 0);
+    expect(mirror.snapshot?.entries.map(({ key }) => key)).to.deep.equal(['b']);
+  });
+
+  it('counts its age from the time at which the store confirmed the state', () => {
+    const { clock, mirror } = create();
+    clock.advance(500);
+    mirror.add({ changes: [], revision: 6 }, 300);
+    clock.advance(100);
+    expect(mirror.age).to.equal(400);
+  });
+
+  it('keeps its age if a relay confirms an older state', () => {
+    const { clock, mirror } = create();
+    clock.advance(100);
+    mirror.add({ changes: [], revision: 6 }, 5_000);
+    expect(mirror.age).to.equal(100);
+  });
+});
--- /dev/null
+++ b/src/common/fleet/StoreMirror.ts
@@ -0,0 +1,112 @@
+import { Emitter, type Clock, type Disposable } from '../base/index.js';
+import type { StoreChange } from '../services/Types.js';
+import { RevisionCompactedError } from './errors.js';
+import type { StoreChanges, StoreSnapshot } from './Types.js';
+
+/** Deleted keys that are kept, so that daemons that follow this mirror learn of the deletions. */
+const maxDeletions = 1_000;
+
+/** Entries under one prefix as they were last seen in the store, from which other daemons can follow the changes. */
+export class StoreMirror implements Disposable {
+  /** Last change of each key, oldest first. */
+  private readonly latest = new Map<string, StoreChange>();
+
+  private readonly changeEmitter = new Emitter<void>();
+
+  /** Fires after new changes. */
+  public readonly onChange = this.changeEmitter.event;
+
+  private known: number | undefined;
+
+  /** Revision before which changes may be missing here. */
+  private compacted = 0;
+
+  private deletions = 0;
+
+  private confirmedAt = -Infinity;
+
+  public constructor(private readonly clock: Clock) {}
+
+  /** Revision of the store up to which all changes are known; undefined before the first snapshot. */
+  public get revision(): number | undefined {
+    return this.known;
+  }
+
+  /** Milliseconds since the store confirmed that `revision` is the newest; infinite before the first snapshot. */
+  public get age(): number {
+    return this.clock.elapsed() - this.confirmedAt;
+  }
+
+  /** Replaces all entries by those that the store had `age` milliseconds ago, unless newer changes are known. */
+  public replace({ entries, revision }: StoreSnapshot, age: number): void {
+    if (this.known !== undefined && revision < this.known) return;
+    this.latest.clear();
+    this.deletions = 0;
+    entries.forEach((entry) => this.latest.set(entry.key, { type: 'put', entry }));
+    // Followers may know keys that were deleted since and that this mirror has never seen.
+    this.compacted = revision;
+    this.known = revision;
+    this.confirm(age);
+    this.changeEmitter.fire();
+  }
+
+  /** Adds changes that follow `revision`, confirmed by the store `age` milliseconds ago. */
+  public add({ changes, revision }: StoreChanges, age: number): void {
+    if (this.known === undefined) return;
+    changes.forEach((change) => this.addChange(change));
+    this.known = Math.max(this.known, revision);
+    this.confirm(age);
+    if (changes.length > 0) this.changeEmitter.fire();
+  }
+
+  /** All entries; undefined before the first snapshot. */
+  public get snapshot(): StoreSnapshot | undefined {
+    if (this.known === undefined) return undefined;
+    const entries = [...this.latest.values()].flatMap(({ type, entry }) =>
+      type === 'put' ? [entry] : [],
+    );
+    return { entries, revision: this.known };
+  }
+
+  /**
+   * Last change of each key after a revision, oldest first. Throws `RevisionCompactedError` if deletions after that
+   * revision may be missing.
+   */
+  public changesAfter(revision: number): StoreChanges {
+    if (this.known === undefined || revision < this.compacted) {
+      throw new RevisionCompactedError('the mirror starts at a later revision', 'not-applied', {
+        step: 'fleet.mirror',
+      });
+    }
+    const changes = [...this.latest.values()].filter(({ entry }) => entry.modRevision > revision);
+    changes.sort((left, right) => left.entry.modRevision - right.entry.modRevision);
+    return { changes, revision: this.known };
+  }
+
+  public dispose(): void {
+    this.changeEmitter.dispose();
+  }
+
+  private addChange(change: StoreChange): void {
+    const { key, modRevision } = change.entry;
+    const before = this.latest.get(key);
+    if (before !== undefined && before.entry.modRevision >= modRevision) return;
+    if (before?.type === 'delete') this.deletions -= 1;
+    this.latest.delete(key);
+    this.latest.set(key, change);
+    if (change.type === 'delete') this.deletions += 1;
+    if (this.deletions > maxDeletions) this.dropOldestDeletion();
+  }
+
+  private dropOldestDeletion(): void {
+    const oldest = [...this.latest.values()].find(({ type }) => type === 'delete');
+    if (oldest === undefined) return;
+    this.latest.delete(oldest.entry.key);
+    this.deletions -= 1;
+    this.compacted = Math.max(this.compacted, oldest.entry.modRevision);
+  }
+
+  private confirm(age: number): void {
+    this.confirmedAt = Math.max(this.confirmedAt, this.clock.elapsed() - age);
+  }
+}
--- a/src/sidecar/HomeServer.ts
+++ b/src/sidecar/HomeServer.ts
@@ -14,6 +14,7 @@
 import type { DaemonRecord } from '../common/fleet/Types.js';
 import type { Home } from './Home.js';
 import { dropAddedHeaders, type PeerCodecs } from './peer/peerCodecs.js';
+import { relayHeader } from './peer/relayMessages.js';
 import type { PeerCodec, PeerFailure, PeerRequest } from './peer/Types.js';
 import type { HomeRequest } from './Types.js';
 
@@ -49,6 +50,8 @@
 export interface HomeServerSettings {
   readonly home: Pick<Home, 'run'>;
   readonly codecs: PeerCodecs;
+  /** Handles a request of a daemon that follows the store through this one; without it such requests are rejected. */
+  readonly relay?: (request: IncomingMessage, response: ServerResponse) => void;
   /** Current configuration version. */
   readonly version: () => number;
   /** Current record of this daemon. */
@@ -100,6 +103,11 @@
     response: ServerResponse,
     expectsContinue: boolean,
   ): void {
+    const { relay } = this.settings;
+    if (relay !== undefined && request.headers[relayHeader] !== undefined) {
+      relay(request, response);
+      return;
+    }
     const pairs = pairHeaders(request.rawHeaders);
     const decoded = this.settings.codecs.decodeRequest(pairs);
     response.sendDate = false;
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -26,7 +26,8 @@
 import { SharedWatchStore } from '../common/fleet/SharedWatchStore.js';
 import { PrefixWatcher } from '../common/fleet/PrefixWatcher.js';
 import { Registration } from '../common/fleet/Registration.js';
-import type { DaemonRecord, PolledStore } from '../common/fleet/Types.js';
+import { RelayedStore } from '../common/fleet/RelayedStore.js';
+import type { DaemonRecord, PolledStore, StoreSnapshot } from '../common/fleet/Types.js';
 import type { FleetRetryLimits } from '../common/retry/HomeRetryBudget.js';
 import type { TrafficConfiguration } from '../common/routing/TrafficTypes.js';
 import { CrashGuard } from '../daemon/CrashGuard.js';
@@ -37,6 +38,8 @@
 import { HomeServer } from './HomeServer.js';
 import { createRequestMetadata } from './peer/createRequestMetadata.js';
 import { newestPeerEncoding, PeerCodecs } from './peer/peerCodecs.js';
+import { RelayHttpClient } from './peer/RelayHttpClient.js';
+import { RelayHttpServer } from './peer/RelayHttpServer.js';
 import { PeerHttpClient } from './PeerHttpClient.js';
 import type { SidecarSettings } from './Settings.js';
 import { SidecarMetrics } from './SidecarMetrics.js';
@@ -56,16 +59,20 @@
 const quarantineLimits = { crashes: 3, lifetime: 60_000 };
 /** Seconds after which the store removes the record of a dead daemon. */
 const leaseSeconds = 6;
-/** Milliseconds of one long poll; each poll counts against the store's call rate. */
+/** Milliseconds of one long poll at the most; each poll counts against the store's call rate. */
 const pollTimeout = 15_000;
+/** Milliseconds within which a change is known although a relay has failed: half a second less than the shortest bound. */
+const configurationStaleness = 2_000;
+/** The same for changes of the fleet, which daemons also learn from each other's responses. */
+const fleetStaleness = 8_000;
 /** Milliseconds in which fleet changes are batched; daemons also learn newer records from each other's responses. */
 const fleetBatchDelay = 1_500;
 /** Shorter batch delay while the fleet starts or recovers, when it delays the first requests. */
 const earlyFleetBatchDelay = 300;
 /** Milliseconds between two removals of daemons that are gone. */
 const pruneInterval = 2_000;
-/** Minimum milliseconds between two refreshes caused by peers with a newer configuration. */
-const minRefreshInterval = 400;
+/** Milliseconds within which the own poll should bring a configuration that another daemon already has. */
+const refreshDelay = 400;
 /** Maximum milliseconds for removing the own record from the store at the end of a stop. */
 const withdrawTimeout = 200;
 /** Milliseconds between checks of the requests in flight during a stop. */
@@ -101,6 +108,9 @@
 
   private readonly directory: FleetDirectory;
 
+  /** Reads of the store, through another daemon of this data centre if possible. */
+  private readonly relayed: RelayedStore;
+
   private readonly crashGuard: CrashGuard;
 
   private readonly registration: Registration;
@@ -125,7 +135,7 @@
 
   private hasFleetSnapshot = false;
 
-  private refreshedAt = -Infinity;
+  private isRefreshScheduled = false;
 
   public constructor(
     private settings: SidecarSettings,
@@ -159,11 +169,14 @@
         log,
       }),
     );
+    this.relayed = this.createRelayedStore();
     this.configurationWatcher = this.createWatcher(environment.configuration.key, 0, 0);
     this.fleetWatcher = this.createWatcher(fleetPrefix, fleetBatchDelay, earlyFleetBatchDelay);
     this.crashGuard = this.disposables.add(
       new CrashGuard({
-        store: new SharedWatchStore(store, this.fleetWatcher),
+        store: new SharedWatchStore(store, this.fleetWatcher, () =>
+          this.relayed.known(fleetPrefix),
+        ),
         clock,
         random,
         log,
@@ -195,6 +208,7 @@
       new HomeServer({
         home: this.home,
         codecs,
+        relay: this.createRelayHandler(),
         version: () => this.traffic.version,
         record: () => this.record,
         conditions,
@@ -274,15 +288,42 @@
     });
   }
 
+  private createRelayedStore(): RelayedStore {
+    const { clock, log, store } = this.environment;
+    const { settings, directory } = this;
+    const relays = new RelayHttpClient((daemon) => directory.addressOf(daemon));
+    this.disposables.add(relays);
+    return this.disposables.add(
+      new RelayedStore({
+        self: settings.id,
+        maxStaleness: (prefix) =>
+          prefix === this.environment.configuration.key ? configurationStaleness : fleetStaleness,
+        store,
+        relays,
+        candidates: () => directory.daemonsOf(settings.dataCentre, newestPeerEncoding),
+        clock,
+        log,
+      }),
+    );
+  }
+
+  private createRelayHandler(): RelayHttpServer['handle'] {
+    const { clock, log } = this.environment;
+    const relay = (prefix: string): ReturnType<RelayedStore['relay']> =>
+      this.isStopping ? undefined : this.relayed.relay(prefix);
+    const server = new RelayHttpServer({ relay, clock, log });
+    return (request, response) => server.handle(request, response);
+  }
+
   private createWatcher(
     prefix: string,
     batchDelay: number,
     earlyBatchDelay: number,
   ): PrefixWatcher {
-    const { store, clock, random, log } = this.environment;
+    const { clock, random, log } = this.environment;
     return this.disposables.add(
       new PrefixWatcher({
-        store,
+        store: this.relayed,
         prefix,
         pollTimeout,
         batchDelay,
@@ -345,7 +386,7 @@
       );
       newest.slice(-1).forEach(({ entry }) => this.applyConfiguration(entry));
     });
-    this.fleetWatcher.onSnapshot(({ entries }) => this.replaceFleet(entries));
+    this.fleetWatcher.onSnapshot((snapshot) => this.replaceFleet(snapshot));
     this.fleetWatcher.onChanges((changes) => {
       changes.forEach((change) => this.changeFleet(change));
     });
@@ -366,13 +407,16 @@
     this.traffic.apply(decoded.right);
   }
 
-  private replaceFleet(entries: readonly StoreEntry[]): void {
+  private replaceFleet({ entries, revision }: StoreSnapshot): void {
     const records = entries
       .filter(({ key }) => key.startsWith(daemonPrefix))
       .flatMap((entry) => this.readRecord(entry) ?? []);
     this.directory.replaceAll(records);
     this.hasFleetSnapshot = true;
-    this.checkOwnRecord(records.find(({ daemon }) => daemon === this.settings.id));
+    this.checkOwnRecord(
+      records.find(({ daemon }) => daemon === this.settings.id),
+      revision,
+    );
   }
 
   private changeFleet({ type, entry }: StoreChange): void {
@@ -381,12 +425,12 @@
     const record = type === 'put' ? this.readRecord(entry) : undefined;
     if (record !== undefined) this.directory.put(record);
     else if (type === 'delete') this.directory.markUnlisted(daemon);
-    if (daemon === this.settings.id) this.checkOwnRecord(record);
+    if (daemon === this.settings.id) this.checkOwnRecord(record, entry.modRevision);
   }
 
-  /** Rewrites the record of this daemon if the store lost it. */
-  private checkOwnRecord(record: DaemonRecord | undefined): void {
-    if (record?.incarnation !== this.incarnation) this.registration.markLost();
+  /** Rewrites the record of this daemon if the store lost it; `revision` is that of the store when it was read. */
+  private checkOwnRecord(record: DaemonRecord | undefined, revision: number): void {
+    if (record?.incarnation !== this.incarnation) this.registration.markLost(revision);
   }
 
   private readRecord(entry: StoreEntry): DaemonRecord | undefined {
@@ -433,12 +477,16 @@
     );
   }
 
-  /** Refreshes the configuration if a peer has a newer one, since the own poll may be stalled. */
+  /** Reads the configuration from another source if a peer still has a newer one soon, since the own poll may be stalled. */
   private refreshIfOlder(version: number): void {
-    const now = this.environment.clock.elapsed();
-    if (version <= this.traffic.version || now - this.refreshedAt < minRefreshInterval) return;
-    this.refreshedAt = now;
-    this.configurationWatcher.refresh();
+    if (version <= this.traffic.version || this.isRefreshScheduled) return;
+    this.isRefreshScheduled = true;
+    this.disposables.add(
+      this.environment.clock.after(refreshDelay, () => {
+        this.isRefreshScheduled = false;
+        if (version > this.traffic.version) this.configurationWatcher.refresh();
+      }),
+    );
   }
 
   /** Recent target conditions for other daemons, including that of the local target. */
--- /dev/null
+++ b/src/sidecar/peer/RelayHttp.test.ts
@@ -0,0 +1,176 @@
+import { once } from 'node:events';
+import { createServer, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { gzipSync } from 'node:zlib';
+import { encode } from '@msgpack/msgpack';
+import { expect } from 'chai';
+import { brandAs, FleetError, type DaemonId, type StoreChange } from '../../api/index.js';
+import { RevisionCompactedError } from '../../common/fleet/errors.js';
+import { StoreMirror } from '../../common/fleet/StoreMirror.js';
+import { SystemClock } from '../../node/SystemClock.js';
+import { MemoryLog } from '../../testing/MemoryLog.js';
+import { RelayHttpClient } from './RelayHttpClient.js';
+import { RelayHttpServer } from './RelayHttpServer.js';
+
+const relay = brandAs<DaemonId>('d-1');
+const prefix = 'op/config';
+const { signal } = new AbortController();
+const put = (key: string, value: string, modRevision: number): StoreChange => ({
+  type: 'put',
+  entry: { key, value: Buffer.from(value), modRevision },
+});
+const describeChanges = (changes: readonly StoreChange[]): string[] =>
+  changes.map(
+    ({ type, entry: { key, value, modRevision } }) =>
+      `${type} ${key}=${Buffer.from(value).toString()} ${modRevision}`,
+  );
+
+describe('relay over HTTP', () => {
+  const clock = new SystemClock();
+  let mirror: StoreMirror;
+  let server: Server;
+  let client: RelayHttpClient;
+  let respond: ((response: ServerResponse) => void) | undefined;
+
+  beforeEach(async () => {
+    mirror = new StoreMirror(clock);
+    mirror.replace({ entries: [put(prefix, 'one', 3).entry], revision: 5 }, 0);
+    respond = undefined;
+    const handler = new RelayHttpServer({
+      relay: (of) => (of === prefix ? mirror : undefined),
+      clock,
+      log: new MemoryLog(),
+    });
+    server = createServer((request, response) => {
+      if (respond === undefined) handler.handle(request, response);
+      else respond(response);
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as AddressInfo;
+    client = new RelayHttpClient((daemon) => (daemon === relay ? `127.0.0.1:${port}` : undefined));
+  });
+
+  afterEach(() => {
+    client.dispose();
+    server.close();
+    server.closeAllConnections();
+  });
+
+  it('brings a snapshot across', async () => {
+    const { entries, revision, age } = await client.snapshot(relay, prefix);
+    const changes = entries.map((entry): StoreChange => ({ type: 'put', entry }));
+    expect(describeChanges(changes)).to.deep.equal(['put op/config=one 3']);
+    expect(revision).to.equal(5);
+    expect(age).to.be.at.least(0);
+  });
+
+  it('brings changes across that came before the poll or during it', async () => {
+    mirror.add({ changes: [put(prefix, 'two', 7)], revision: 8 }, 0);
+    const first = await client.changes(relay, prefix, 5, 5_000, signal);
+    expect(describeChanges(first.changes)).to.deep.equal(['put op/config=two 7']);
+    const poll = client.changes(relay, prefix, first.revision, 5_000, signal);
+    const removal = { key: prefix, value: new Uint8Array(), modRevision: 9 };
+    clock.after(20, () => {
+      mirror.add({ changes: [{ type: 'delete', entry: removal }], revision: 9 }, 0);
+    });
+    expect(describeChanges((await poll).changes)).to.deep.equal(['delete op/config= 9']);
+  });
+
+  it('ends a poll without changes after its wait', async () => {
+    const { changes, revision } = await client.changes(relay, prefix, 5, 20, signal);
+    expect(changes).to.deep.equal([]);
+    expect(revision).to.equal(5);
+  });
+
+  it('compresses a large configuration, since some links have 7 Mbit/s', async () => {
+    const routes = Array.from({ length: 2_000 }, (_, index) => `{"name":"route-${index}"}`);
+    mirror.add({ changes: [put(prefix, routes.join(), 7)], revision: 8 }, 0);
+    let bytes = 0;
+    server.on('connection', (socket) => {
+      socket.once('close', () => {
+        bytes += socket.bytesWritten;
+      });
+    });
+    const { changes } = await client.changes(relay, prefix, 5, 5_000, signal);
+    expect(changes[0]?.entry.value.length).to.equal(routes.join().length);
+    client.dispose();
+    await once(server, 'close', { signal: AbortSignal.timeout(1) }).catch(() => {});
+    server.closeAllConnections();
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+    expect(bytes).to.be.within(1, routes.join().length / 3);
+  });
+
+  const failures: readonly {
+    readonly name: string;
+    readonly call: () => Promise<unknown>;
+    readonly error: new (...values: never[]) => Error;
+    readonly text: string;
+  }[] = [
+    {
+      name: 'the relay does not know changes that are older than its state',
+      call: () => client.changes(relay, prefix, 4, 100, signal),
+      error: RevisionCompactedError,
+      text: 'later revision',
+    },
+    {
+      name: 'the relay does not follow the prefix',
+      call: () => client.snapshot(relay, 'limpettrack/'),
+      error: FleetError,
+      text: 'answered 503',
+    },
+    {
+      name: 'the revision is no number',
+      call: () => client.changes(relay, prefix, NaN, 100, signal),
+      error: FleetError,
+      text: 'answered 400',
+    },
+    {
+      name: 'the daemon is unknown',
+      call: () => client.snapshot(brandAs<DaemonId>('d-2'), prefix),
+      error: FleetError,
+      text: 'unknown daemon',
+    },
+    {
+      name: 'the follower ends the poll',
+      call: () => client.changes(relay, prefix, 5, 60_000, AbortSignal.timeout(10)),
+      error: FleetError,
+      text: 'did not respond',
+    },
+  ];
+  failures.forEach(({ name, call, error, text }) => {
+    it(`fails if ${name}`, async () => {
+      const failure = await call().then(
+        () => undefined,
+        (reason: unknown) => reason,
+      );
+      expect(failure).to.be.instanceOf(error);
+      expect(String(failure)).to.contain(text);
+    });
+  });
+
+  const invalid: readonly { readonly name: string; readonly content: Buffer; age?: string }[] = [
+    { name: 'no compressed message', content: Buffer.from('bytes') },
+    { name: 'a message without a revision', content: gzipSync(encode({ changes: [] })) },
+    {
+      name: 'a change without a key',
+      content: gzipSync(encode({ revision: 7, changes: [[1, 7, null]] })),
+    },
+    { name: 'no age', content: gzipSync(encode({ revision: 7, changes: [] })), age: 'x' },
+  ];
+  invalid.forEach(({ name, content, age = '0' }) => {
+    it(`fails if the response of a relay is ${name}`, async () => {
+      respond = (response) => {
+        response.writeHead(200, { 'lt-age': age });
+        response.end(content);
+      };
+      const failure = await client.changes(relay, prefix, 5, 100, signal).then(
+        () => undefined,
+        (reason: unknown) => reason,
+      );
+      expect(failure).to.be.instanceOf(Error);
+    });
+  });
+});
--- /dev/null
+++ b/src/sidecar/peer/RelayHttpClient.ts
@@ -0,0 +1,117 @@
+import { Agent, request as startRequest, type IncomingMessage } from 'node:http';
+import { FleetError, type DaemonId, type Disposable } from '../../api/index.js';
+import { RevisionCompactedError } from '../../common/fleet/errors.js';
+import type { Aged, RelayClient } from '../../common/fleet/RelayedStore.js';
+import type { StoreChanges, StoreSnapshot } from '../../common/fleet/Types.js';
+import { readLimited } from '../../daemon/streams.js';
+import {
+  ageHeader,
+  compactedStatus,
+  decodeChanges,
+  decodeSnapshot,
+  relayHeader,
+  relayPaths,
+} from './relayMessages.js';
+
+/** Milliseconds beyond the wait after which a daemon of this data centre does not respond. */
+const responseTimeout = 500;
+/** Milliseconds for which an idle connection is kept; shorter than `HomeServer` keeps it. */
+const idleTimeout = 20_000;
+/** Maximum bytes of a compressed response. */
+const maxResponseBytes = 4 * 1024 * 1024;
+
+interface Call {
+  readonly daemon: DaemonId;
+  readonly path: string;
+  readonly query: Readonly<Record<string, string | number>>;
+  /** Milliseconds until the call fails. */
+  readonly timeout: number;
+  readonly signal?: AbortSignal;
+}
+
+/** Follows the store through other daemons over HTTP/1.1. */
+export class RelayHttpClient implements RelayClient, Disposable {
+  private readonly agent = new Agent({ keepAlive: true, timeout: idleTimeout });
+
+  /** `addressOf` returns `host:port` of a daemon, or undefined if it is unknown. */
+  public constructor(private readonly addressOf: (daemon: DaemonId) => string | undefined) {}
+
+  public async snapshot(daemon: DaemonId, prefix: string): Promise<Aged<StoreSnapshot>> {
+    const { content, age } = await this.call({
+      daemon,
+      path: relayPaths.snapshot,
+      query: { prefix },
+      timeout: responseTimeout,
+    });
+    return { ...(await decodeSnapshot(content)), age };
+  }
+
+  public async changes(
+    daemon: DaemonId,
+    prefix: string,
+    after: number,
+    wait: number,
+    signal: AbortSignal,
+  ): Promise<Aged<StoreChanges>> {
+    const { content, age } = await this.call({
+      daemon,
+      path: relayPaths.changes,
+      query: { prefix, after, wait },
+      timeout: wait + responseTimeout,
+      signal,
+    });
+    return { ...(await decodeChanges(content)), age };
+  }
+
+  public dispose(): void {
+    this.agent.destroy();
+  }
+
+  private async call(call: Call): Promise<{ readonly content: Buffer; readonly age: number }> {
+    const { daemon } = call;
+    const origin = { step: 'fleet.relay', peer: daemon };
+    const limit = AbortSignal.timeout(call.timeout);
+    const signal = call.signal === undefined ? limit : AbortSignal.any([limit, call.signal]);
+    try {
+      const response = await this.send(call, signal);
+      const content = await readLimited(response, maxResponseBytes);
+      if (response.statusCode === compactedStatus) {
+        throw new RevisionCompactedError(
+          'the relay starts at a later revision',
+          'not-applied',
+          origin,
+        );
+      }
+      const age = Number(response.headers[ageHeader] ?? NaN);
+      if (response.statusCode !== 200 || !(age >= 0)) {
+        throw new FleetError(`the relay answered ${response.statusCode}`, origin);
+      }
+      return { content, age };
+    } catch (cause) {
+      if (cause instanceof FleetError) throw cause;
+      throw new FleetError('the relay did not respond', { ...origin, cause });
+    }
+  }
+
+  private send({ daemon, path, query }: Call, signal: AbortSignal): Promise<IncomingMessage> {
+    const address = this.addressOf(daemon);
+    if (address === undefined) throw new FleetError('unknown daemon', { step: 'fleet.relay' });
+    const [host, port] = address.split(/:(?=\d+$)/);
+    const parameters = Object.entries(query).map(([name, value]) => [name, String(value)]);
+    const search = new URLSearchParams(Object.fromEntries(parameters) as Record<string, string>);
+    return new Promise((resolve, reject) => {
+      const request = startRequest({
+        agent: this.agent,
+        host,
+        port,
+        path: `${path}?${search.toString()}`,
+        headers: { [relayHeader]: '1' },
+        signal,
+      });
+      request.setNoDelay(true);
+      request.once('response', resolve);
+      request.once('error', reject);
+      request.end();
+    });
+  }
+}
--- /dev/null
+++ b/src/sidecar/peer/RelayHttpServer.ts
@@ -0,0 +1,127 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { DisposableStore, type Clock, type LogSink } from '../../api/index.js';
+import { RevisionCompactedError } from '../../common/fleet/errors.js';
+import type { StoreMirror } from '../../common/fleet/StoreMirror.js';
+import {
+  ageHeader,
+  compactedStatus,
+  encodeChanges,
+  encodeSnapshot,
+  relayPaths,
+} from './relayMessages.js';
+
+/** Maximum milliseconds that a poll is held. */
+const maxWait = 10_000;
+/** Encoded responses that are kept, since all followers ask for the same changes. */
+const maxCached = 4;
+const unavailableStatus = 503;
+const badRequestStatus = 400;
+
+/** Dependencies of `RelayHttpServer`. */
+export interface RelayHttpServerSettings {
+  /** State of a prefix; undefined if this daemon does not follow it or stops. */
+  readonly relay: (prefix: string) => StoreMirror | undefined;
+  readonly clock: Clock;
+  readonly log: LogSink;
+}
+
+/** Answers the daemons that follow the store through this one. */
+export class RelayHttpServer {
+  private readonly cache = new Map<string, Promise<Buffer>>();
+
+  public constructor(private readonly settings: RelayHttpServerSettings) {}
+
+  /** Handles one request; never throws. */
+  public handle(request: IncomingMessage, response: ServerResponse): void {
+    request.resume();
+    this.respond(request, response).catch((error: unknown) => {
+      const isCompacted = error instanceof RevisionCompactedError;
+      if (!isCompacted) this.logFailure(error);
+      if (response.headersSent) response.destroy();
+      else this.end(response, isCompacted ? compactedStatus : unavailableStatus);
+    });
+  }
+
+  private async respond(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { pathname, searchParams } = new URL(request.url ?? '/', 'http://daemon');
+    const prefix = searchParams.get('prefix') ?? '';
+    const mirror = this.settings.relay(prefix);
+    if (mirror?.revision === undefined) {
+      this.end(response, unavailableStatus);
+      return;
+    }
+    if (pathname === relayPaths.snapshot) {
+      const { snapshot } = mirror;
+      if (snapshot === undefined) return;
+      const key = `${prefix} ${snapshot.revision}`;
+      this.send(response, mirror, await this.cached(key, () => encodeSnapshot(snapshot)));
+      return;
+    }
+    const after = Number(searchParams.get('after') ?? NaN);
+    const wait = Number(searchParams.get('wait') ?? NaN);
+    if (pathname !== relayPaths.changes || !Number.isInteger(after) || !(wait >= 0)) {
+      this.end(response, badRequestStatus);
+      return;
+    }
+    await this.waitForChange(mirror, after, Math.min(wait, maxWait), response);
+    if (response.destroyed) return;
+    const changes = mirror.changesAfter(after);
+    const key = `${prefix} ${after} ${changes.revision}`;
+    this.send(response, mirror, await this.cached(key, () => encodeChanges(changes)));
+  }
+
+  /** Resolves after a change, the end of the wait, or when the follower has left. */
+  private waitForChange(
+    mirror: StoreMirror,
+    after: number,
+    wait: number,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (mirror.changesAfter(after).changes.length > 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      const disposables = new DisposableStore();
+      const end = (): void => {
+        disposables.dispose();
+        response.off('close', end);
+        resolve();
+      };
+      disposables.add(this.settings.clock.after(wait, end));
+      disposables.add(mirror.onChange(end));
+      response.once('close', end);
+    });
+  }
+
+  private cached(key: string, encode: () => Promise<Buffer>): Promise<Buffer> {
+    let content = this.cache.get(key);
+    if (content === undefined) {
+      content = encode();
+      this.cache.set(key, content);
+      const [oldest] = this.cache.keys();
+      if (this.cache.size > maxCached && oldest !== undefined) this.cache.delete(oldest);
+    }
+    return content;
+  }
+
+  private send(response: ServerResponse, mirror: StoreMirror, content: Buffer): void {
+    response.sendDate = false;
+    response.writeHead(200, {
+      'content-length': content.length,
+      [ageHeader]: Math.round(mirror.age),
+    });
+    response.end(content);
+  }
+
+  private end(response: ServerResponse, status: number): void {
+    response.writeHead(status, { 'content-length': 0 });
+    response.end();
+  }
+
+  private logFailure(error: unknown): void {
+    this.settings.log.write({
+      level: 'warn',
+      kind: 'membership',
+      message: 'could not answer a daemon that follows the store through this one',
+      fields: { step: 'relay.answer', error: String(error) },
+    });
+  }
+}
--- /dev/null
+++ b/src/sidecar/peer/relayMessages.ts
@@ -0,0 +1,72 @@
+/** Messages between a daemon that reads the store and the daemons that follow it. */
+import { gunzip, gzip } from 'node:zlib';
+import { promisify } from 'node:util';
+import { decode, encode } from '@msgpack/msgpack';
+import type { StoreChange } from '../../api/index.js';
+import type { StoreChanges, StoreSnapshot } from '../../common/fleet/Types.js';
+
+/** Marks a request to follow the store. */
+export const relayHeader = 'lt-relay';
+/** Milliseconds since the store confirmed the state in a response. */
+export const ageHeader = 'lt-age';
+/** Paths of the two requests. */
+export const relayPaths = { snapshot: '/snapshot', changes: '/changes' } as const;
+/** Status if the changes after the requested revision are no longer known. */
+export const compactedStatus = 410;
+/** Maximum bytes of a decoded message; a prefix has at most a few thousand records or one configuration of 1 MB. */
+const maxContentBytes = 16 * 1024 * 1024;
+
+const compress = promisify(gzip);
+const decompress = promisify(gunzip);
+
+/** Key, revision and value of an entry; the value of a deleted one is null. */
+type EncodedChange = readonly [key: string, revision: number, value: Uint8Array | null];
+
+interface EncodedChanges {
+  readonly revision: number;
+  readonly changes: readonly EncodedChange[];
+}
+
+/** Encodes changes as compressed MessagePack. */
+export function encodeChanges({ changes, revision }: StoreChanges): Promise<Buffer> {
+  const rows = changes.map(({ type, entry }): EncodedChange => [
+    entry.key,
+    entry.modRevision,
+    type === 'put' ? entry.value : null,
+  ]);
+  return compress(encode({ revision, changes: rows } satisfies EncodedChanges));
+}
+
+/** Encodes a snapshot as compressed MessagePack. */
+export function encodeSnapshot({ entries, revision }: StoreSnapshot): Promise<Buffer> {
+  return encodeChanges({ revision, changes: entries.map((entry) => ({ type: 'put', entry })) });
+}
+
+function isChange(value: unknown): value is EncodedChange {
+  if (!Array.isArray(value)) return false;
+  const [key, revision, content] = value as readonly unknown[];
+  const hasContent = content === null || content instanceof Uint8Array;
+  return typeof key === 'string' && Number.isInteger(revision) && hasContent;
+}
+
+/** Decodes changes; throws `RangeError` if they are invalid or too large. */
+export async function decodeChanges(content: Buffer): Promise<StoreChanges> {
+  const value = decode(await decompress(content, { maxOutputLength: maxContentBytes }));
+  const { revision, changes } = (value ?? {}) as Partial<EncodedChanges>;
+  if (!Number.isInteger(revision) || !Array.isArray(changes) || !changes.every(isChange)) {
+    throw new RangeError('invalid message of a relay');
+  }
+  return {
+    revision: revision as number,
+    changes: changes.map(([key, modRevision, bytes]): StoreChange => {
+      const entry = { key, modRevision, value: bytes ?? new Uint8Array() };
+      return { type: bytes === null ? 'delete' : 'put', entry };
+    }),
+  };
+}
+
+/** Decodes a snapshot; throws `RangeError` if it is invalid or too large. */
+export async function decodeSnapshot(content: Buffer): Promise<StoreSnapshot> {
+  const { changes, revision } = await decodeChanges(content);
+  return { entries: changes.map(({ entry }) => entry), revision };
+}
--- a/src/testing/FakePolledStore.ts
+++ b/src/testing/FakePolledStore.ts
@@ -56,6 +56,11 @@
 
   public constructor(private readonly clock: Clock) {}
 
+  /** Revision of the last change. */
+  public get lastRevision(): number {
+    return this.revision;
+  }
+
   /** Value of a key decoded as UTF-8, or `undefined` if the key does not exist. */
   public getText(key: string): string | undefined {
     this.expireLeases();
