Close the connection of an endless announcement on every supported Node.js

On Node.js 20.19, the oldest release that package.json allows, an iterator that leaves the body of a request early takes the socket away from the request. The endpoint keeps the socket itself now.

--- a/src/daemon/AdminServer.ts
+++ b/src/daemon/AdminServer.ts
@@ -40,9 +40,11 @@
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    // The server would otherwise read the rest of the body without limit.
+    // The server would otherwise read the rest of the body without limit. A request whose body was iterated and left
+    // early no longer refers to its socket.
+    const { socket } = request;
     response.once('finish', () => {
-      if (!request.complete) request.destroy();
+      if (!request.complete) socket.destroy();
     });
     const url = new URL(request.url ?? '/', 'http://admin');
     const found = this.handlers.find(
