Let free slots elsewhere count little until the near target is nearly full

The cost of a target grew linearly with its occupied slots, so an entry sent a request to another data centre for two more free slots, although targets slow down only when they are nearly full.

--- a/src/common/dispatch/Placement.ts
+++ b/src/common/dispatch/Placement.ts
@@ -11,6 +11,8 @@
 const minServingSlots = 0.2;
 /** Cost of full occupancy, as a share of the mean service time: targets slow down when nearly full. */
 const occupancyCost = 0.5;
+/** Free slots cost little until few are left. */
+const occupancyExponent = 3;
 /** Cost of a lost request that is not retried, in multiples of its route's latency goal. */
 const lossCost = 3;
 /** Share of idempotent requests that may be sent as trial requests to a suspected target, to detect its recovery. */
@@ -38,8 +40,8 @@
 
 /** Costs of distance without settings. */
 export const defaultLocality: Locality = {
-  dataCentre: { fixed: 250, perKilobyte: 50 },
-  region: { fixed: 300, perKilobyte: 100 },
+  dataCentre: { fixed: 120, perKilobyte: 30 },
+  region: { fixed: 150, perKilobyte: 80 },
 };
 
 /** A candidate with the expected cost of a request there. */
@@ -123,7 +125,7 @@
     const cost =
       wait +
       refusal +
-      occupancy(candidate) * work * occupancyCost +
+      occupancy(candidate) ** occupancyExponent * work * occupancyCost +
       unhealthyProbability * loss +
       this.distance(candidate, kilobytes, call.route.goal) +
       this.random() * tieRange;
