Leave room in the retry budget for calls, which are no first attempts

A daemon cannot tell calls from requests of callers: a trial showed the same addresses, headers and no deadline of the parent.

--- a/src/common/retry/HomeRetryBudget.ts
+++ b/src/common/retry/HomeRetryBudget.ts
@@ -2,10 +2,13 @@
 import { SlidingWindowCounter } from './SlidingWindowCounter.js';
 
 /**
- * Share of the limits that is used. The rest covers windows that are not aligned, and the calls that targets make
- * while they run a retried request, which other homes count as first attempts.
+ * Share of the limits that homes use. The rest covers windows that are not aligned, and the calls of targets, which a
+ * home cannot tell from requests of callers: they are no first attempts to the platform, and those of a retried request
+ * are retries. With C calls among N first attempts, and c calls for each request of the calling service, the sum is at
+ * most `share * (ratio * (N + C) + (1 + c) * slack)` for a limit of `ratio * (N - C) + slack`. That holds for a third of
+ * calls and c of 1.4, unless the first attempts allow hardly more retries than the slack.
  */
-const usableShare = 0.6;
+export const usableShare = 0.45;
 
 /** Retry limits of the whole fleet for one service. */
 export interface FleetRetryLimits {
