Keep a caller's header from being taken for a follower, and a lost state for a refusal

A home looked for the header of a daemon that follows the store before it looked for the metadata of a forwarded request, so a caller that sends a header lt-relay got no answer from any home. And a response without the state of a home was taken for one of another program that did not run the request, although a bid may run once its body has been asked for and sent; its outcome is unknown now.

Both cases fail on the code before (HomeServer.test.ts, PeerHttpClient.test.ts, which also holds what was peer/peerBytes.test.ts).

--- a/src/sidecar/HomeServer.test.ts
+++ b/src/sidecar/HomeServer.test.ts
@@ -60,11 +60,16 @@
     return { status: 200, headers: [], body: Readable.from(['done']) };
   };
 
-  beforeEach(async () => {
+  const start = async (isRelay: boolean): Promise<void> => {
     waiting = [];
     server = new HomeServer({
       home: { run },
       codecs: new PeerCodecs('id'),
+      relay: isRelay
+        ? (_request, response) => {
+            response.end('relayed');
+          }
+        : undefined,
       version: () => 1,
       record: () => record,
       conditions: () => [],
@@ -73,7 +78,9 @@
       log: new MemoryLog(),
     });
     port = await server.listen('127.0.0.1:0');
-  });
+  };
+
+  beforeEach(() => start(false));
 
   afterEach(() => server.dispose());
 
@@ -125,4 +132,23 @@
     const response = await fetch(`http://127.0.0.1:${port}/snapshot?prefix=x`, { headers });
     expect(response.status).to.equal(400);
   });
+
+  it('runs a forwarded request whose caller sent the header of a follower', async () => {
+    server.dispose();
+    await start(true);
+    const headers = { id: 'r-1', lt: metadata, 'lt-relay': '1' };
+    const response = fetch(`http://127.0.0.1:${port}/lots`, { headers });
+    await waitUntil(() => waiting.length === 1, 'the request waits for a slot');
+    waiting[0]?.giveSlot();
+    expect(await (await response).text()).to.equal('done');
+    expect(waiting[0]?.request.headers).to.deep.include(['lt-relay', '1']);
+  });
+
+  it('answers a follower', async () => {
+    server.dispose();
+    await start(true);
+    const headers = { 'lt-relay': '1' };
+    const response = await fetch(`http://127.0.0.1:${port}/snapshot?prefix=x`, { headers });
+    expect(await response.text()).to.equal('relayed');
+  });
 });
--- a/src/sidecar/HomeServer.ts
+++ b/src/sidecar/HomeServer.ts
@@ -103,13 +103,15 @@
     response: ServerResponse,
     expectsContinue: boolean,
   ): void {
-    const { relay } = this.settings;
-    if (relay !== undefined && request.headers[relayHeader] !== undefined) {
+    const { relay, codecs } = this.settings;
+    const pairs = pairHeaders(request.rawHeaders);
+    const decoded = codecs.decodeRequest(pairs);
+    // A forwarded request may bear a header of this name from its caller.
+    const isFollower = decoded === undefined && request.headers[relayHeader] !== undefined;
+    if (relay !== undefined && isFollower) {
       relay(request, response);
       return;
     }
-    const pairs = pairHeaders(request.rawHeaders);
-    const decoded = this.settings.codecs.decodeRequest(pairs);
     response.sendDate = false;
     response.on('error', () => response.destroy());
     this.inFlight += 1;
--- a/src/sidecar/peer/peerBytes.test.ts
+++ b/src/sidecar/PeerHttpClient.test.ts
@@ -4,6 +4,7 @@
 import { expect } from 'chai';
 import {
   brandAs,
+  OutcomeUnknownError,
   type DaemonId,
   type DataCentre,
   type Incarnation,
@@ -11,21 +12,23 @@
   type RequestId,
   type ServiceName,
   type TargetId,
-} from '../../api/index.js';
-import type {
-  AttemptRequest,
-  Candidate,
-  ConditionReport,
-  TargetCondition,
-} from '../../common/dispatch/Types.js';
-import { encodeRecord, recordVersion } from '../../common/fleet/daemonRecords.js';
-import type { DaemonRecord } from '../../common/fleet/Types.js';
-import { SystemClock } from '../../node/SystemClock.js';
-import { MemoryLog } from '../../testing/MemoryLog.js';
-import { HomeServer } from '../HomeServer.js';
-import { PeerHttpClient } from '../PeerHttpClient.js';
-import type { HomeRequest } from '../Types.js';
-import { newestPeerEncoding, PeerCodecs } from './peerCodecs.js';
+} from '../api/index.js';
+import {
+  HomeRefusalError,
+  type AttemptRequest,
+  type Candidate,
+  type ConditionReport,
+  type TargetCondition,
+} from '../common/dispatch/Types.js';
+import { encodeRecord, recordVersion } from '../common/fleet/daemonRecords.js';
+import type { DaemonRecord } from '../common/fleet/Types.js';
+import { SystemClock } from '../node/SystemClock.js';
+import { MemoryLog } from '../testing/MemoryLog.js';
+import { RawTarget } from '../testing/RawTarget.js';
+import { HomeServer } from './HomeServer.js';
+import { PeerHttpClient } from './PeerHttpClient.js';
+import type { HomeRequest } from './Types.js';
+import { newestPeerEncoding, PeerCodecs } from './peer/peerCodecs.js';
 
 const requestIdHeader = 'x-request-id';
 const region = brandAs<Region>('rioja-norte');
@@ -106,46 +109,10 @@
 const forwardedRequest = forwardedBytes(`GET ${path} HTTP/1.1`, requestHeaders);
 const forwardedResponse = forwardedBytes('HTTP/1.1 200 OK', responseHeaders) + 4;
 
-/** Sends one request and returns what passed between the two daemons and what each end decoded. */
-async function exchange(encoding: number, homeRecordVersion = recordVersion(record)) {
-  const servers: Server[] = [];
-  const traffic: Traffic = { sent: '', received: '' };
-  const received: HomeRequest[] = [];
-  const learned = { atHome: [] as ConditionReport[], atEntry: [] as ConditionReport[] };
-  const records: DaemonRecord[] = [];
-  const codecs = new PeerCodecs(requestIdHeader);
-  const clock = new SystemClock();
-  const server = new HomeServer({
-    home: {
-      run: async (request) => {
-        received.push(request);
-        const { condition } = conditions[0] as ConditionReport;
-        return { status: 200, headers: responseHeaders, body: Readable.from(['good']), condition };
-      },
-    },
-    codecs,
-    version: () => 18,
-    record: () => record,
-    conditions: () => conditions,
-    onConditions: (reports) => learned.atHome.push(...reports),
-    onVersion: () => {},
-    log: new MemoryLog(),
-  });
-  const port = await capture(await server.listen('127.0.0.1:0'), traffic, servers);
-  const client = new PeerHttpClient({
-    id: brandAs<DaemonId>('sidecar-aimogasta-a-3'),
-    region,
-    dataCentre: dataCentre('aimogasta-a'),
-    codecs,
-    clock,
-    onVersion: () => {},
-    conditions: () => conditions,
-    onConditions: (reports) => learned.atEntry.push(...reports),
-    onRecord: (next) => records.push(next),
-  });
-  const candidate: Candidate = {
+function createCandidate(port: number, encoding: number, version: string): Candidate {
+  return {
     ...record,
-    recordVersion: homeRecordVersion,
+    recordVersion: version,
     address: `127.0.0.1:${port}`,
     encoding,
     target: brandAs<TargetId>('i-7f3a91c2'),
@@ -154,14 +121,17 @@
     inFlight: 0,
     age: 0,
   };
-  const attempt: AttemptRequest = {
+}
+
+function createAttempt(isIdempotent: boolean): AttemptRequest {
+  return {
     call: {
       id: brandAs<RequestId>('9c41d07be2a35f68'),
       route: {
         name: 'estado-tina-7',
         host: 'jepu9.example',
         path: '/lepu270/',
-        isIdempotent: true,
+        isIdempotent,
         timeout: 3_000,
         goal: 2_000,
         rank: 2,
@@ -169,14 +139,14 @@
         parts: [],
       },
       service: brandAs<ServiceName>('wuno96b'),
-      method: 'GET',
+      method: isIdempotent ? 'GET' : 'POST',
       path,
       headers: requestHeaders,
       body: Buffer.alloc(0),
       timeout: 3_000,
     },
-    target: candidate.target,
-    incarnation: candidate.incarnation,
+    target: brandAs<TargetId>('i-7f3a91c2'),
+    incarnation: brandAs<Incarnation>('1796413952123'),
     timeout: 2_978.4,
     maxQueueWait: 1_530.2,
     isForced: false,
@@ -185,6 +155,50 @@
     version: 18,
     onStart: () => {},
   };
+}
+
+function createClient(learned: ConditionReport[], records: DaemonRecord[]): PeerHttpClient {
+  return new PeerHttpClient({
+    id: brandAs<DaemonId>('sidecar-aimogasta-a-3'),
+    region,
+    dataCentre: dataCentre('aimogasta-a'),
+    codecs: new PeerCodecs(requestIdHeader),
+    clock: new SystemClock(),
+    onVersion: () => {},
+    conditions: () => conditions,
+    onConditions: (reports) => learned.push(...reports),
+    onRecord: (next) => records.push(next),
+  });
+}
+
+/** Sends one request and returns what passed between the two daemons and what each end decoded. */
+async function exchange(encoding: number, homeRecordVersion = recordVersion(record)) {
+  const servers: Server[] = [];
+  const traffic: Traffic = { sent: '', received: '' };
+  const received: HomeRequest[] = [];
+  const learned = { atHome: [] as ConditionReport[], atEntry: [] as ConditionReport[] };
+  const records: DaemonRecord[] = [];
+  const codecs = new PeerCodecs(requestIdHeader);
+  const server = new HomeServer({
+    home: {
+      run: async (request) => {
+        received.push(request);
+        const { condition } = conditions[0] as ConditionReport;
+        return { status: 200, headers: responseHeaders, body: Readable.from(['good']), condition };
+      },
+    },
+    codecs,
+    version: () => 18,
+    record: () => record,
+    conditions: () => conditions,
+    onConditions: (reports) => learned.atHome.push(...reports),
+    onVersion: () => {},
+    log: new MemoryLog(),
+  });
+  const port = await capture(await server.listen('127.0.0.1:0'), traffic, servers);
+  const client = createClient(learned.atEntry, records);
+  const candidate = createCandidate(port, encoding, homeRecordVersion);
+  const attempt = createAttempt(true);
   const answer = await client.send(candidate, attempt, new AbortController().signal);
   client.dispose();
   server.dispose();
@@ -258,4 +272,46 @@
       expect(answer.transferred).to.equal(traffic.sent.length + traffic.received.length);
     });
   });
+
+  const foreign: readonly {
+    readonly name: string;
+    readonly isIdempotent: boolean;
+    readonly response: string;
+    readonly error: new (...values: never[]) => Error;
+  }[] = [
+    {
+      name: 'a bid was not run if a program that is no daemon responds instead of asking for it',
+      isIdempotent: false,
+      response: 'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n',
+      error: HomeRefusalError,
+    },
+    {
+      name: 'the outcome of a bid is unknown if it was asked for and the response bears no state',
+      isIdempotent: false,
+      response: 'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n',
+      error: OutcomeUnknownError,
+    },
+    {
+      name: 'a look-up can be sent elsewhere if the response bears no state',
+      isIdempotent: true,
+      response: 'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n',
+      error: HomeRefusalError,
+    },
+  ];
+  foreign.forEach(({ name, isIdempotent, response, error }) => {
+    it(`knows that ${name}`, async () => {
+      const server = new RawTarget((socket) => socket.write(response));
+      const port = Number((await server.listen()).split(':')[1]);
+      const client = createClient([], []);
+      const candidate = createCandidate(port, newestPeerEncoding, recordVersion(record));
+      const { signal } = new AbortController();
+      const failure = await client.send(candidate, createAttempt(isIdempotent), signal).then(
+        () => undefined,
+        (reason: unknown) => reason,
+      );
+      client.dispose();
+      server.dispose();
+      expect(failure).to.be.instanceOf(error);
+    });
+  });
 });
--- a/src/sidecar/PeerHttpClient.ts
+++ b/src/sidecar/PeerHttpClient.ts
@@ -42,6 +42,9 @@
   condition: undefined,
 } as const;
 
+/** Failure of an exchange whose outcome no response tells. */
+const noState = { failure: { type: 'unknown' }, condition: undefined } as const;
+
 /** Bytes that a connection has sent and received. */
 function transferredBytes({ bytesRead, bytesWritten }: Socket): number {
   return bytesRead + bytesWritten;
@@ -242,9 +245,10 @@
     const pairs = pairHeaders(response.rawHeaders);
     const state = codec.decodeResponse(pairs);
     const status = response.statusCode ?? fallbackStatus;
-    // A response without the state of a home does not come from a daemon.
+    // A response without the state of a home does not come from a daemon, unless one asked for the body before.
     if (state === undefined) {
-      throw this.endFailed(exchange, response, notHome);
+      const mayHaveRun = exchange.hasSentBody && !exchange.attempt.call.route.isIdempotent;
+      throw this.endFailed(exchange, response, mayHaveRun ? noState : notHome);
     }
     const { version, conditions, condition, failure } = state;
     this.settings.onVersion(version);
