--- a/src/common/fleet/RelaySelector.ts
+++ b/src/common/fleet/RelaySelector.ts
@@ -11,10 +11,6 @@
 export type ChangeSource =
   { readonly type: 'store' } | { readonly type: 'relay'; readonly daemon: DaemonId };
 
-/** Daemons that can be relays, as the selector needs them. */
-/** Daemons of this data centre that are serving and can relay, this one included. */
-export type RelayCandidates = () => readonly DaemonId[];
-
 /**
  * Chooses where this daemon reads the changes of the store. In each data centre the daemon that ranks first for a prefix
  * reads the store and relays to the others, so the calls to the store do not grow with the fleet. The order is the same
@@ -25,14 +21,15 @@
 
   private followedAt = -Infinity;
 
-  /** Relays that failed since the last successful call. */
+  /** Relays that failed since the last successful call or the last call to the store. */
   private failures = 0;
 
   public constructor(
     private readonly self: DaemonId,
     /** Key of the ranking, so that different prefixes have different relays. */
     private readonly key: string,
-    private readonly candidates: RelayCandidates,
+    /** Daemons of this data centre that are serving and can relay, this one included. */
+    private readonly candidates: () => readonly DaemonId[],
     private readonly clock: Clock,
   ) {}
 
--- a/src/common/fleet/RelayedStore.test.ts
+++ b/src/common/fleet/RelayedStore.test.ts
@@ -122,7 +122,7 @@
       const follower = this.followers.find((other) => other.id === id);
       return follower === undefined || follower.isFrozen
         ? undefined
-        : follower.relayed.relay(prefix);
+        : follower.relayed.mirrorForFollower(prefix);
     };
     return {
       snapshot: async (id) => {
--- a/src/common/fleet/RelayedStore.ts
+++ b/src/common/fleet/RelayedStore.ts
@@ -49,8 +49,8 @@
   readonly log: LogSink;
 }
 
-/** One prefix that this daemon follows. */
-interface FollowedPrefix {
+/** State of one prefix that this daemon reads. */
+interface PrefixState {
   readonly mirror: StoreMirror;
   readonly selector: RelaySelector;
   readonly maxStaleness: number;
@@ -63,15 +63,15 @@
  * is mirrored, so that this daemon can be a relay itself.
  */
 export class RelayedStore implements Pick<PolledStore, 'snapshot' | 'changes'>, Disposable {
-  private readonly prefixes = new Map<string, FollowedPrefix>();
+  private readonly prefixes = new Map<string, PrefixState>();
 
   private readonly disposables = new DisposableStore();
 
   public constructor(private readonly settings: RelayedStoreSettings) {}
 
   public async snapshot(prefix: string): Promise<StoreSnapshot> {
-    const followed = this.follow(prefix);
-    const { mirror, selector } = followed;
+    const state = this.stateOf(prefix);
+    const { mirror, selector } = state;
     // A process that has just started knows no revision by which it could tell that a relay is behind.
     const source: ChangeSource =
       mirror.revision === undefined ? { type: 'store' } : selector.choose();
@@ -81,7 +81,7 @@
           ? { ...(await this.settings.store.snapshot(prefix)), age: 0 }
           : await this.settings.relays.snapshot(source.daemon, prefix);
       const isBehind = snapshot.revision < (mirror.revision ?? 0);
-      this.check(followed, source, isBehind ? Infinity : snapshot.age);
+      this.check(state, source, isBehind ? Infinity : snapshot.age);
       mirror.replace(snapshot, snapshot.age);
       return snapshot;
     });
@@ -94,8 +94,8 @@
     wait: number,
     signal: AbortSignal,
   ): Promise<StoreChanges> {
-    const followed = this.follow(prefix);
-    const { mirror, selector, maxStaleness } = followed;
+    const state = this.stateOf(prefix);
+    const { mirror, selector, maxStaleness } = state;
     const source = selector.choose();
     return this.read(prefix, source, async () => {
       const { store, relays } = this.settings;
@@ -105,17 +105,17 @@
         source.type === 'store'
           ? { ...(await store.changes(prefix, after, held, signal)), age: 0 }
           : await relays.changes(source.daemon, prefix, after, held, signal);
-      this.check(followed, source, changes.age);
+      this.check(state, source, changes.age);
       mirror.add(changes, changes.age);
       return changes;
     });
   }
 
-  /** State of a prefix for a daemon that follows this one; undefined if this daemon does not follow the prefix. */
-  public relay(prefix: string): StoreMirror | undefined {
-    const followed = this.prefixes.get(prefix);
-    followed?.selector.recordFollower();
-    return followed?.mirror;
+  /** Mirror of a prefix for a daemon that follows this one; undefined if this daemon does not read the prefix. */
+  public mirrorForFollower(prefix: string): StoreMirror | undefined {
+    const state = this.prefixes.get(prefix);
+    state?.selector.recordFollower();
+    return state?.mirror;
   }
 
   /** Entries of a prefix as last read; undefined before the first snapshot. */
@@ -127,19 +127,19 @@
     this.disposables.dispose();
   }
 
-  private follow(prefix: string): FollowedPrefix {
-    let followed = this.prefixes.get(prefix);
-    if (followed === undefined) {
+  private stateOf(prefix: string): PrefixState {
+    let state = this.prefixes.get(prefix);
+    if (state === undefined) {
       const { self, candidates, clock } = this.settings;
-      followed = {
+      state = {
         mirror: this.disposables.add(new StoreMirror(clock)),
         selector: new RelaySelector(self, prefix, candidates, clock),
         maxStaleness: this.settings.maxStaleness(prefix),
         lastSource: '',
       };
-      this.prefixes.set(prefix, followed);
+      this.prefixes.set(prefix, state);
     }
-    return followed;
+    return state;
   }
 
   private async read<Result>(
@@ -147,20 +147,20 @@
     source: ChangeSource,
     call: () => Promise<Result>,
   ): Promise<Result> {
-    const followed = this.follow(prefix);
-    this.logSource(prefix, followed, source);
+    const state = this.stateOf(prefix);
+    this.logSource(prefix, state, source);
     try {
       const result = await call();
-      followed.selector.recordSuccess(source);
+      state.selector.recordSuccess(source);
       return result;
     } catch (error) {
       // After a compaction the same source has the whole state.
-      if (!(error instanceof RevisionCompactedError)) followed.selector.recordFailure(source);
+      if (!(error instanceof RevisionCompactedError)) state.selector.recordFailure(source);
       throw error;
     }
   }
 
-  private check({ maxStaleness }: FollowedPrefix, source: ChangeSource, age: number): void {
+  private check({ maxStaleness }: PrefixState, source: ChangeSource, age: number): void {
     if (source.type === 'store' || age <= staleness.maxAge * maxStaleness) return;
     throw new FleetError('the state of the relay is too old', {
       step: 'fleet.relay',
@@ -168,9 +168,9 @@
     });
   }
 
-  private logSource(prefix: string, followed: FollowedPrefix, source: ChangeSource): void {
+  private logSource(prefix: string, state: PrefixState, source: ChangeSource): void {
     const name = source.type === 'store' ? 'store' : source.daemon;
-    if (name === followed.lastSource) return;
+    if (name === state.lastSource) return;
     this.settings.log.write({
       level: 'info',
       kind: 'membership',
@@ -179,10 +179,10 @@
         step: 'fleet.relay',
         prefix,
         source: name,
-        before: followed.lastSource,
-        revision: followed.mirror.revision,
+        before: state.lastSource,
+        revision: state.mirror.revision,
       },
     });
-    followed.lastSource = name;
+    state.lastSource = name;
   }
 }
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -27,6 +27,7 @@
 import { PrefixWatcher } from '../common/fleet/PrefixWatcher.js';
 import { Registration } from '../common/fleet/Registration.js';
 import { RelayedStore } from '../common/fleet/RelayedStore.js';
+import type { StoreMirror } from '../common/fleet/StoreMirror.js';
 import type { DaemonRecord, PolledStore, StoreSnapshot } from '../common/fleet/Types.js';
 import type { FleetRetryLimits } from '../common/retry/HomeRetryBudget.js';
 import type { TrafficConfiguration } from '../common/routing/TrafficTypes.js';
@@ -309,9 +310,9 @@
 
   private createRelayHandler(): RelayHttpServer['handle'] {
     const { clock, log } = this.environment;
-    const relay = (prefix: string): ReturnType<RelayedStore['relay']> =>
-      this.isStopping ? undefined : this.relayed.relay(prefix);
-    const server = new RelayHttpServer({ relay, clock, log });
+    const mirror = (prefix: string): StoreMirror | undefined =>
+      this.isStopping ? undefined : this.relayed.mirrorForFollower(prefix);
+    const server = new RelayHttpServer({ mirror, clock, log });
     return (request, response) => server.handle(request, response);
   }
 
--- a/src/sidecar/peer/RelayHttp.test.ts
+++ b/src/sidecar/peer/RelayHttp.test.ts
@@ -37,7 +37,7 @@
     mirror.replace({ entries: [put(prefix, 'one', 3).entry], revision: 5 }, 0);
     respond = undefined;
     const handler = new RelayHttpServer({
-      relay: (of) => (of === prefix ? mirror : undefined),
+      mirror: (of) => (of === prefix ? mirror : undefined),
       clock,
       log: new MemoryLog(),
     });
--- a/src/sidecar/peer/RelayHttpServer.ts
+++ b/src/sidecar/peer/RelayHttpServer.ts
@@ -19,8 +19,8 @@
 
 /** Dependencies of `RelayHttpServer`. */
 export interface RelayHttpServerSettings {
-  /** State of a prefix; undefined if this daemon does not follow it or stops. */
-  readonly relay: (prefix: string) => StoreMirror | undefined;
+  /** Mirror of a prefix for a follower; undefined if this daemon does not read it or stops. */
+  readonly mirror: (prefix: string) => StoreMirror | undefined;
   readonly clock: Clock;
   readonly log: LogSink;
 }
@@ -45,7 +45,7 @@
   private async respond(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { pathname, searchParams } = new URL(request.url ?? '/', 'http://daemon');
     const prefix = searchParams.get('prefix') ?? '';
-    const mirror = this.settings.relay(prefix);
+    const mirror = this.settings.mirror(prefix);
     if (mirror?.revision === undefined) {
       this.end(response, unavailableStatus);
       return;
