Try targets of which nothing is known lately

Since free slots elsewhere count little, a target without evidence, taken to be unhealthy with 0.15, lost against any known one until all of those were nearly full.

A share of the requests that can be retried, which went to suspected targets, now goes to such a target of the data centre when none is suspected. The home admits it as any other request. The first of the new cases fails on the code before.

--- a/src/common/dispatch/Placement.test.ts
+++ b/src/common/dispatch/Placement.test.ts
@@ -202,4 +202,25 @@
       expect(first?.isTrial).to.equal(suspected.includes(best));
     });
   });
+
+  const unproven = [
+    { name: 'that has just joined', dataCentre: 'gam-a', queued: 0, best: 'new' },
+    { name: 'of no other data centre', dataCentre: 'gam-b', queued: 0, best: 'known' },
+    { name: 'not if its queue is full', dataCentre: 'gam-a', queued: 3, best: 'known' },
+  ];
+  unproven.forEach(({ name, dataCentre, queued, best }) => {
+    it(`sends some retryable requests to a target ${name}, so that it is used although others are free`, () => {
+      const joined = candidate('new', dataCentre, queued, 0.15);
+      const candidates = [candidate('known', 'gam-a', 0, 0.02), joined];
+      const rank = (random: number, isLast: boolean) =>
+        new Placement(location, defaultLocality, () => random).rank(
+          candidates,
+          context({ isLast }),
+        )[0];
+      expect(rank(0.1, false)?.candidate.target).to.equal(best);
+      expect(rank(0.1, false)?.isTrial).to.equal(false);
+      expect(rank(0.9, false)?.candidate.target).to.equal('known');
+      expect(rank(0.1, true)?.candidate.target).to.equal('known');
+    });
+  });
 });
--- a/src/common/dispatch/Placement.ts
+++ b/src/common/dispatch/Placement.ts
@@ -19,6 +19,8 @@
 const trialShare = 0.2;
 /** Unhealthy probability above which homes refuse all requests except trial requests. */
 const refusedProbability = 0.5;
+/** Share of the prior probability of being unhealthy from which nothing is known of a target. */
+const unprovenShare = 0.8;
 /** Unhealthy probability above which a target gets trial requests; its home limits their rate. */
 const trialProbability = 0.3;
 
@@ -76,6 +78,16 @@
   return Math.min(1, Math.max(inFlight, reported) / Math.max(1, slots));
 }
 
+/** Candidate whose condition was learned first. */
+function oldest(ranked: readonly RankedCandidate[]): RankedCandidate | undefined {
+  return [...ranked].sort((left, right) => right.candidate.age - left.candidate.age)[0];
+}
+
+/** Whether there is hardly more evidence of a target's health than there is of any target. */
+function isUnproven({ unhealthyProbability }: RankedCandidate): boolean {
+  return unhealthyProbability >= unprovenShare * logistic(priorLogOdds);
+}
+
 /** Properties of a request that determine its cost at a candidate. */
 export interface PlacementContext {
   readonly call: IncomingCall;
@@ -148,19 +160,23 @@
   }
 
   /**
-   * Ranks a suspected target first for a share of the requests that can be retried elsewhere. Each data centre tries its
-   * own targets; one that has none of the service tries those of its region.
+   * Ranks another target first for a share of the requests that can be retried elsewhere: a suspected one, else one of
+   * which nothing is known lately, such as one that has just joined. Each data centre tries its own targets; one that has
+   * none of the service tries those of its region.
    */
   private preferTrial(ranked: RankedCandidate[]): RankedCandidate[] {
     if (this.random() >= trialShare) return ranked;
     const { dataCentre } = this.location;
     const own = ranked.filter(({ candidate }) => candidate.dataCentre === dataCentre);
-    const suspected = (own.length > 0 ? own : ranked).filter(
-      ({ unhealthyProbability, isRemote, wait }) =>
-        !isRemote && wait === 0 && unhealthyProbability > trialProbability,
+    const free = (own.length > 0 ? own : ranked).filter(
+      ({ isRemote, wait }) => !isRemote && wait === 0,
     );
-    const [chosen] = suspected.sort((left, right) => right.candidate.age - left.candidate.age);
+    const isSuspected = ({ unhealthyProbability }: RankedCandidate): boolean =>
+      unhealthyProbability > trialProbability;
+    const suspected = oldest(free.filter(isSuspected));
+    const chosen = suspected ?? oldest(free.filter(isUnproven));
     if (chosen === undefined) return ranked;
-    return [{ ...chosen, isTrial: true }, ...ranked.filter((candidate) => candidate !== chosen)];
+    const isTrial = chosen === suspected;
+    return [{ ...chosen, isTrial }, ...ranked.filter((candidate) => candidate !== chosen)];
   }
 }
