Encode what a relay sends once, whichever revisions its followers know

A relay cached a response by the revision that its follower named. Followers poll at different times and name different ones, so a configuration of 900 routes was compressed again for each of 18 followers, on half a core or less. The cache goes by the changes and the revision that are sent now, and the fastest compression is used. RelayHttp.test.ts counts one encoding for five followers; with the old key it counts five.

--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -41,6 +41,7 @@
 import { newestPeerEncoding, PeerCodecs } from './peer/peerCodecs.js';
 import { RelayHttpClient } from './peer/RelayHttpClient.js';
 import { RelayHttpServer } from './peer/RelayHttpServer.js';
+import { encodeChanges } from './peer/relayMessages.js';
 import { PeerHttpClient } from './PeerHttpClient.js';
 import type { SidecarSettings } from './Settings.js';
 import { SidecarMetrics } from './SidecarMetrics.js';
@@ -312,7 +313,7 @@
     const { clock, log } = this.environment;
     const mirror = (prefix: string): StoreMirror | undefined =>
       this.isStopping ? undefined : this.relayed.mirrorForFollower(prefix);
-    const server = new RelayHttpServer({ mirror, clock, log });
+    const server = new RelayHttpServer({ mirror, clock, log, encode: encodeChanges });
     return (request, response) => server.handle(request, response);
   }
 
--- a/src/sidecar/peer/RelayHttp.test.ts
+++ b/src/sidecar/peer/RelayHttp.test.ts
@@ -11,6 +11,7 @@
 import { MemoryLog } from '../../testing/MemoryLog.js';
 import { RelayHttpClient } from './RelayHttpClient.js';
 import { RelayHttpServer } from './RelayHttpServer.js';
+import { encodeChanges } from './relayMessages.js';
 
 const relay = brandAs<DaemonId>('d-1');
 const prefix = 'op/config';
@@ -30,16 +31,22 @@
   let mirror: StoreMirror;
   let server: Server;
   let client: RelayHttpClient;
+  let encodings: number;
   let respond: ((response: ServerResponse) => void) | undefined;
 
   beforeEach(async () => {
     mirror = new StoreMirror(clock);
     mirror.replace({ entries: [put(prefix, 'one', 3).entry], revision: 5 }, 0);
     respond = undefined;
+    encodings = 0;
     const handler = new RelayHttpServer({
       mirror: (of) => (of === prefix ? mirror : undefined),
       clock,
       log: new MemoryLog(),
+      encode: (changes) => {
+        encodings += 1;
+        return encodeChanges(changes);
+      },
     });
     server = createServer((request, response) => {
       if (respond === undefined) handler.handle(request, response);
@@ -77,6 +84,14 @@
     expect(describeChanges((await poll).changes)).to.deep.equal(['delete op/config= 9']);
   });
 
+  it('encodes a change once for followers that know different revisions, since compressing takes long on a small share of a core', async () => {
+    mirror.add({ changes: [], revision: 9 }, 0);
+    mirror.add({ changes: [put(prefix, 'two', 10)], revision: 12 }, 0);
+    const revisions = [5, 6, 7, 8, 9];
+    await Promise.all(revisions.map((after) => client.changes(relay, prefix, after, 100, signal)));
+    expect(encodings).to.equal(1);
+  });
+
   it('ends a poll without changes after its wait', async () => {
     const { changes, revision } = await client.changes(relay, prefix, 5, 20, signal);
     expect(changes).to.deep.equal([]);
--- a/src/sidecar/peer/RelayHttpServer.ts
+++ b/src/sidecar/peer/RelayHttpServer.ts
@@ -1,14 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { DisposableStore, type Clock, type LogSink } from '../../api/index.js';
 import { RevisionCompactedError } from '../../common/fleet/errors.js';
+import type { StoreChanges } from '../../common/fleet/Types.js';
 import type { StoreMirror } from '../../common/fleet/StoreMirror.js';
-import {
-  ageHeader,
-  compactedStatus,
-  encodeChanges,
-  encodeSnapshot,
-  relayPaths,
-} from './relayMessages.js';
+import { ageHeader, compactedStatus, relayPaths, toChanges } from './relayMessages.js';
 
 /** Maximum milliseconds that a poll is held. */
 const maxWait = 10_000;
@@ -23,6 +18,8 @@
   readonly mirror: (prefix: string) => StoreMirror | undefined;
   readonly clock: Clock;
   readonly log: LogSink;
+  /** Encodes a response. */
+  readonly encode: (changes: StoreChanges) => Promise<Buffer>;
 }
 
 /** Answers the daemons that follow the store through this one. */
@@ -53,8 +50,7 @@
     if (pathname === relayPaths.snapshot) {
       const { snapshot } = mirror;
       if (snapshot === undefined) return;
-      const key = `${prefix} ${snapshot.revision}`;
-      this.send(response, mirror, await this.cached(key, () => encodeSnapshot(snapshot)));
+      this.send(response, mirror, await this.encode(prefix, toChanges(snapshot)));
       return;
     }
     const after = Number(searchParams.get('after') ?? NaN);
@@ -66,8 +62,7 @@
     await this.waitForChange(mirror, after, Math.min(wait, maxWait), response);
     if (response.destroyed) return;
     const changes = mirror.changesAfter(after);
-    const key = `${prefix} ${after} ${changes.revision}`;
-    this.send(response, mirror, await this.cached(key, () => encodeChanges(changes)));
+    this.send(response, mirror, await this.encode(prefix, changes));
   }
 
   /** Resolves after a change, the end of the wait, or when the follower has left. */
@@ -91,10 +86,13 @@
     });
   }
 
-  private cached(key: string, encode: () => Promise<Buffer>): Promise<Buffer> {
+  /** Encodes the same changes once, from whichever revisions the followers ask for them. */
+  private encode(prefix: string, message: StoreChanges): Promise<Buffer> {
+    const { changes, revision } = message;
+    const key = [prefix, revision, ...changes.map(({ entry }) => entry.modRevision)].join(' ');
     let content = this.cache.get(key);
     if (content === undefined) {
-      content = encode();
+      content = this.settings.encode(message);
       this.cache.set(key, content);
       const [oldest] = this.cache.keys();
       if (this.cache.size > maxCached && oldest !== undefined) this.cache.delete(oldest);
--- a/src/sidecar/peer/relayMessages.ts
+++ b/src/sidecar/peer/relayMessages.ts
@@ -1,5 +1,5 @@
 /** Messages between a daemon that reads the store and the daemons that follow it. */
-import { gunzip, gzip } from 'node:zlib';
+import { constants, gunzip, gzip } from 'node:zlib';
 import { promisify } from 'node:util';
 import { decode, encode } from '@msgpack/msgpack';
 import type { StoreChange } from '../../api/index.js';
@@ -34,12 +34,13 @@
     entry.modRevision,
     type === 'put' ? entry.value : null,
   ]);
-  return compress(encode({ revision, changes: rows } satisfies EncodedChanges));
+  const content = encode({ revision, changes: rows } satisfies EncodedChanges);
+  return compress(content, { level: constants.Z_BEST_SPEED });
 }
 
-/** Encodes a snapshot as compressed MessagePack. */
-export function encodeSnapshot({ entries, revision }: StoreSnapshot): Promise<Buffer> {
-  return encodeChanges({ revision, changes: entries.map((entry) => ({ type: 'put', entry })) });
+/** A snapshot as changes, which is how it is sent. */
+export function toChanges({ entries, revision }: StoreSnapshot): StoreChanges {
+  return { revision, changes: entries.map((entry) => ({ type: 'put', entry })) };
 }
 
 function isChange(value: unknown): value is EncodedChange {
