Let a daemon that cannot read the store follow others, and read large responses to their end

A daemon that the store does not answer now avoids itself as it avoids a relay that fails, and follows others.

Each of the two changes has a test that fails on the code before, and the selector two cases.

--- a/src/common/fleet/RelaySelector.test.ts
+++ b/src/common/fleet/RelaySelector.test.ts
@@ -47,6 +47,20 @@
       },
       source: 'store',
     },
+    {
+      name: 'a relay if the store does not answer it, although another daemon follows it',
+      act: (selector) => {
+        selector.recordFollower();
+        selector.recordFailure(selector.choose());
+      },
+      source: '1',
+    },
+    {
+      name: 'the next one if it ranks first itself and the store does not answer it',
+      self: first,
+      act: (selector) => selector.recordFailure(selector.choose()),
+      source: '2',
+    },
     {
       name: 'a relay again once no daemon follows it any more',
       act: (selector, clock) => {
--- a/src/common/fleet/RelayedStore.test.ts
+++ b/src/common/fleet/RelayedStore.test.ts
@@ -226,6 +226,18 @@
     });
   });
 
+  it('follows another daemon when the store does not answer it, although others follow it', async () => {
+    const fleet = new Fleet(8);
+    await fleet.settle();
+    const cut = rankByRendezvous(prefix, fleet.ids).slice(0, 3);
+    const affected = fleet.followers.filter(({ id }) => cut.includes(id));
+    affected.forEach((follower) => Object.assign(follower, { isCutFromStore: true }));
+    await fleet.clock.advanceAsync(5_000);
+    fleet.store.put(key, 'second');
+    await fleet.clock.advanceAsync(10_000);
+    expect(new Set(fleet.current)).to.deep.equal(new Set(['second']));
+  });
+
   it('reads the store itself at the start, since it cannot tell how old the state of a relay is', async () => {
     const fleet = new Fleet(3);
     await fleet.clock.advanceAsync(10);
--- a/src/daemon/streams.ts
+++ b/src/daemon/streams.ts
@@ -20,11 +20,19 @@
   body.resume();
 }
 
-/** Reads a whole body; throws `RangeError` and destroys the body if it has more bytes than the limit. */
-export async function readLimited(body: Readable, limit: number): Promise<Buffer> {
+/**
+ * Reads a whole body; throws `RangeError` and destroys the body if it has more bytes than the limit. `onChunk` is called
+ * for each part that arrives.
+ */
+export async function readLimited(
+  body: Readable,
+  limit: number,
+  onChunk: () => void = () => {},
+): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let size = 0;
   for await (const chunk of body) {
+    onChunk();
     size += (chunk as Buffer).length;
     if (size > limit) throw new RangeError(`body over ${limit} bytes`);
     chunks.push(chunk as Buffer);
