--- a/src/common/dispatch/Placement.ts
+++ b/src/common/dispatch/Placement.ts
@@ -15,7 +15,7 @@
 const occupancyExponent = 3;
 /** Cost of a lost request that is not retried, in multiples of its route's latency goal. */
 const lossCost = 3;
-/** Share of idempotent requests that may be sent as trial requests to a suspected target, to detect its recovery. */
+/** Share of idempotent requests that may be sent to a suspected or unproven target, to learn of its health. */
 const trialShare = 0.2;
 /** Unhealthy probability above which homes refuse all requests except trial requests. */
 const refusedProbability = 0.5;
--- a/src/sidecar/peer/compactPeerCodec.ts
+++ b/src/sidecar/peer/compactPeerCodec.ts
@@ -20,6 +20,7 @@
 const ageUnit = 10;
 /** Unit of log-odds. */
 const logOddsUnit = 0.1;
+/** Base of the numbers of a condition. */
 const compactRadix = 36;
 /** Value of the failure whose outcome is unknown; no refusal has this reason. */
 const unknownOutcome = '?';
