Log targets that get no requests

Nothing told why a sound target was not used: the route lines name only the target that was chosen, and a home that is asked nothing logs nothing. A home now writes one line for each span of 2 s and more without a request to its target, with the refusals of that span and the condition that it reports, and serves the time as a gauge. A route line tells how many targets could be chosen and of how many of them nothing is known lately.

Idle targets with refusals are kept back by their homes, those without are avoided by the entries, and the reported log-odds tell whether the reason is missing evidence. No decision changes.

--- a/src/common/dispatch/Dispatcher.ts
+++ b/src/common/dispatch/Dispatcher.ts
@@ -12,7 +12,7 @@
 } from '../base/index.js';
 import { logit } from '../health/HealthEstimator.js';
 import { hedgeDelay } from './hedgeDelay.js';
-import type { RankedCandidate, Placement } from './Placement.js';
+import { isUnproven, type RankedCandidate, type Placement } from './Placement.js';
 import type { RouteStatistics } from './RouteStatistics.js';
 import {
   DeadlineError,
@@ -116,6 +116,16 @@
   | 'stopping'
   | { readonly attempt: Attempt; readonly result: AttemptResult };
 
+/** A target to which a request is sent next. */
+interface Choice {
+  readonly ranked: RankedCandidate;
+  readonly maxQueueWait: number;
+  readonly isForced: boolean;
+  /** Number of targets that could be chosen, and how many of them without recent evidence of their health. */
+  readonly eligible: number;
+  readonly unproven: number;
+}
+
 function isSuccess(result: AttemptResult): boolean {
   return result.type === 'answer' && result.answer.status < firstServerError;
 }
@@ -335,9 +345,7 @@
     return { type: 'refused', error: refusal ?? this.createNoTargetError(state) };
   }
 
-  private choose(
-    state: DispatchState,
-  ): { ranked: RankedCandidate; maxQueueWait: number; isForced: boolean } | HomeRefusalError {
+  private choose(state: DispatchState): Choice | HomeRefusalError {
     const { directory, placement, statistics } = this.settings;
     const { call } = state;
     const { latencies, kilobytes } = statistics.get(call.route);
@@ -354,7 +362,8 @@
       isLast: !isIdempotent || state.sent + 1 >= maxAttempts,
     };
     const eligible = candidates.filter(({ target }) => !state.excluded.has(target));
-    const [best] = placement.rank(eligible, context);
+    const ranking = placement.rank(eligible, context);
+    const [best] = ranking;
     if (best === undefined) return this.createNoTargetError(state);
     if (best.wait > maxQueueWait) {
       // The queue is ordered by urgency, so only the home knows how many queued requests go first.
@@ -365,13 +374,19 @@
     const wasAsked = state.askCounts.has(best.candidate.target);
     // The first request to a home asks only for a free slot, since another target may have one.
     const mayQueue = wasAsked || best.wait > 0;
-    return { ranked: best, maxQueueWait: mayQueue ? maxQueueWait : 0, isForced: wasAsked };
+    return {
+      ranked: best,
+      maxQueueWait: mayQueue ? maxQueueWait : 0,
+      isForced: wasAsked,
+      eligible: ranking.length,
+      unproven: ranking.filter(isUnproven).length,
+    };
   }
 
   private async send(
     state: DispatchState,
     attempt: Attempt,
-    choice: { ranked: RankedCandidate; maxQueueWait: number; isForced: boolean },
+    choice: Choice,
   ): Promise<AttemptResult> {
     const { directory, clock, send, version } = this.settings;
     const { candidate } = choice.ranked;
@@ -427,7 +442,7 @@
 
   private handleFailure(
     state: DispatchState,
-    choice: { ranked: RankedCandidate; maxQueueWait: number; isForced: boolean },
+    choice: Choice,
     startedAt: number,
     cause: unknown,
   ): AttemptResult {
@@ -478,11 +493,7 @@
 
   private logAttempt(
     { call, sent }: DispatchState,
-    {
-      ranked,
-      maxQueueWait,
-      isForced,
-    }: { ranked: RankedCandidate; maxQueueWait: number; isForced: boolean },
+    { ranked, maxQueueWait, isForced, eligible, unproven }: Choice,
     startedAt: number,
     message: string,
   ): void {
@@ -506,6 +517,8 @@
         patience: Math.round(maxQueueWait),
         forced: isForced || undefined,
         scout: ranked.isTrial || undefined,
+        eligible,
+        unproven,
         version: this.settings.version(),
         took: Math.round(this.settings.clock.elapsed() - startedAt),
       },
--- a/src/common/dispatch/Placement.ts
+++ b/src/common/dispatch/Placement.ts
@@ -84,7 +84,7 @@
 }
 
 /** Whether there is hardly more evidence of a target's health than there is of any target. */
-function isUnproven({ unhealthyProbability }: RankedCandidate): boolean {
+export function isUnproven({ unhealthyProbability }: RankedCandidate): boolean {
   return unhealthyProbability >= unprovenShare * logistic(priorLogOdds);
 }
 
--- a/src/sidecar/Home.test.ts
+++ b/src/sidecar/Home.test.ts
@@ -1,7 +1,13 @@
 import { buffer } from 'node:stream/consumers';
 import type { Socket } from 'node:net';
 import { expect } from 'chai';
-import { brandAs, NotRunError, type ServiceName, type TargetId } from '../api/index.js';
+import {
+  brandAs,
+  NotRunError,
+  VirtualClock,
+  type ServiceName,
+  type TargetId,
+} from '../api/index.js';
 import type { TargetReport } from '../common/fleet/Types.js';
 import { SystemClock } from '../node/SystemClock.js';
 import { MemoryLog } from '../testing/MemoryLog.js';
@@ -383,6 +389,28 @@
     expect(await run(home)).to.equal('not run: connect-failed');
   });
 
+  it('logs a target that gets no requests, so that operators see capacity that is not used', () => {
+    const clock = new VirtualClock();
+    const log = new MemoryLog();
+    const idle = new Home({
+      address,
+      service: 'catalogo',
+      names,
+      clock,
+      log,
+      retryLimits: () => ({ ratio: 0.2, slack: 3, window: 10 }),
+      countTargets: () => 1,
+      mayExclude: () => true,
+      checkStart: () => {},
+    });
+    idle.acceptAnnouncement(report(address));
+    clock.advance(2_500);
+    idle.dispose();
+    expect(log.messages.filter((message) => message === 'target gets no requests')).to.have.length(
+      1,
+    );
+  });
+
   it('cancels the request at the target when the entry cancels it', async () => {
     target.handler = () => {};
     const abort = new AbortController();
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -18,6 +18,7 @@
 import { logit, HealthEstimator, type RunningRequest } from '../common/health/HealthEstimator.js';
 import { HomeRetryBudget, type FleetRetryLimits } from '../common/retry/HomeRetryBudget.js';
 import type { LatencyDistribution } from '../common/health/LatencyDistribution.js';
+import { TargetUsage } from '../common/health/TargetUsage.js';
 import { TrialRequestLimiter } from '../common/health/TrialRequestLimiter.js';
 import type { GuardedOutcome, GuardedRequest } from '../daemon/CrashGuard.js';
 import { createFingerprint } from '../daemon/fingerprint.js';
@@ -39,6 +40,8 @@
 const reviewInterval = 150;
 /** Milliseconds without requests for a target that refused a connection. */
 const downTime = 700;
+/** Milliseconds between checks for idle targets. */
+const usageCheckInterval = 500;
 const firstServerError = 500;
 
 const refusalReasons: Readonly<Record<SlotRefusal['reason'], RefusalReason>> = {
@@ -55,6 +58,7 @@
   readonly queue: SlotQueue;
   readonly health: HealthEstimator;
   readonly trialLimiter: TrialRequestLimiter;
+  readonly usage: TargetUsage;
   downUntil: number;
 }
 
@@ -110,6 +114,8 @@
 
   private reviewTimer: Disposable | undefined;
 
+  private usageTimer: Disposable | undefined;
+
   private inFlight = 0;
 
   /** Fires when `publishedTargets` changes. */
@@ -118,6 +124,7 @@
   public constructor(private readonly settings: HomeSettings) {
     const { retryLimits, countTargets, clock } = settings;
     this.budget = new HomeRetryBudget(retryLimits, countTargets, clock);
+    this.scheduleUsageCheck();
   }
 
   /** Requests that are running or queued here. */
@@ -130,6 +137,12 @@
     return [...this.hosted].map(([id, hosted]) => [id, this.conditionOf(hosted, 0)]);
   }
 
+  /** Milliseconds since the target of this VM got a request; undefined without one. */
+  public get idleTime(): number | undefined {
+    const times = [...this.hosted.values()].map(({ usage }) => usage.idleTime);
+    return times.length === 0 ? undefined : Math.min(...times);
+  }
+
   /** Targets as published to the fleet. */
   public get publishedTargets(): readonly PublishedTarget[] {
     return this.registry.targets.map((report) => ({
@@ -209,6 +222,7 @@
 
   public dispose(): void {
     this.reviewTimer?.dispose();
+    this.usageTimer?.dispose();
     this.hosted.forEach((hosted) => hosted.dispose());
     this.hosted.clear();
     this.changeEmitter.dispose();
@@ -253,6 +267,7 @@
       queue,
       health: new HealthEstimator(clock),
       trialLimiter: new TrialRequestLimiter(clock),
+      usage: new TargetUsage(clock),
       downUntil: 0,
       dispose: () => {
         queue.dispose();
@@ -332,6 +347,7 @@
     const guarded = this.guard(hosted, request, body);
     const latencies = this.latenciesOf(request);
     const running = hosted.health.start(latencies);
+    hosted.usage.recordStart();
     if (request.isRetry) this.budget.recordRetry();
     else this.budget.recordFirstAttempt();
     try {
@@ -447,6 +463,26 @@
     });
   }
 
+  /** Logs targets that get no requests, with what this home reports of them. */
+  private scheduleUsageCheck(): void {
+    this.usageTimer = this.settings.clock.after(usageCheckInterval, () => {
+      this.hosted.forEach((hosted, id) => {
+        if (hosted.report.state === 'draining') return;
+        const span = hosted.usage.takeIdleSpan();
+        if (span === undefined) return;
+        const { idleTime, refused } = span;
+        this.write('info', 'target gets no requests', {
+          target: id,
+          service: hosted.report.service,
+          idle: Math.round(idleTime),
+          refused,
+          ...this.conditionOf(hosted, 0),
+        });
+      });
+      this.scheduleUsageCheck();
+    });
+  }
+
   private refuse(
     hosted: HostedTarget | undefined,
     reason: RefusalReason,
@@ -455,6 +491,7 @@
     hasReachedTarget?: boolean,
   ): HomeRefusalError {
     const condition = hosted === undefined ? undefined : this.conditionOf(hosted, 0);
+    hosted?.usage.recordRefusal();
     this.settings.log.write({
       level: 'info',
       kind: 'refusal',
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -536,6 +536,7 @@
       known_daemons: this.directory.size,
       callers_in_flight: this.callerServer.load,
       home_in_flight: this.home.load,
+      target_idle_milliseconds: Math.round(this.home.idleTime ?? 0),
       store_in_touch: this.fleetWatcher.isConnected ? 1 : 0,
       registered: this.registration.isWritten ? 1 : 0,
     };
