Hang simulated targets independently, and record their use

The set of hanging targets came from the first values of generators with nearby seeds, which are correlated: with seed 5 none of 24 targets hung in four periods, with seed 17 twelve in each, with seed 11 four to eight. The fleet also records when each target got requests, for a check of the floor of targets in use.

--- a/src/testing/SimulatedFleet.ts
+++ b/src/testing/SimulatedFleet.ts
@@ -14,6 +14,7 @@
   type ServiceName,
   type TargetId,
 } from '../api/index.js';
+import { hashString } from '../common/base/Hash.js';
 import { Dispatcher } from '../common/dispatch/Dispatcher.js';
 import { defaultLocality, Placement } from '../common/dispatch/Placement.js';
 import { RouteStatistics } from '../common/dispatch/RouteStatistics.js';
@@ -39,6 +40,10 @@
 const workLogStdDev = 0.6;
 /** Share of requests that run `factor` times longer. */
 const stragglers = { share: 0.03, factor: 7 };
+/** Retry budget of the deployments with 24 VMs. */
+const retryLimits = { ratio: 0.2, slack: 60, window: 10 };
+/** Number of values of `hashString`. */
+const hashRange = 2 ** 32;
 const headerNames = {
   requestId: 'id',
   timeout: 'timeout',
@@ -81,12 +86,23 @@
    * and the milliseconds after which other targets hang instead.
    */
   readonly hangs: { readonly share: number; readonly loss: number; readonly period: number };
+  /** Retries allowed in a window besides the share of the requests; 60 if missing. */
+  readonly retrySlack?: number;
   /** Duration of the load in seconds. */
   readonly duration: number;
   /** Factor on the request rates at a time in milliseconds. */
   readonly rateFactor: (time: number) => number;
 }
 
+/** Share of the sound targets of a service that got requests in a window. */
+export interface TargetUse {
+  /** Begin of the window in milliseconds. */
+  readonly from: number;
+  readonly service: string;
+  readonly sound: number;
+  readonly used: number;
+}
+
 /** Request counts of one class by result. */
 export interface ClassResult {
   sent: number;
@@ -117,6 +133,9 @@
   /** Number of starts at targets, by request. */
   private readonly starts = new Map<string, number>();
 
+  /** Times at which requests started at each target. */
+  private readonly startTimes = new Map<number, number[]>();
+
   /** Starts at targets beyond the first of each request. */
   public retries = 0;
 
@@ -150,6 +169,32 @@
     this.vms.forEach(({ home }) => home.dispose());
   }
 
+  /**
+   * Use of each service's targets in sliding windows of `length` milliseconds after `from`. A target is sound if it did
+   * not hang in the window and for `recovery` milliseconds before.
+   */
+  public targetUse(from: number, length: number, recovery: number): TargetUse[] {
+    const step = length / 8;
+    const end = this.load.duration * 1_000 - length;
+    const windows = Array.from({ length: Math.floor((end - from) / step) }, (_, index) => ({
+      from: from + index * step,
+      to: from + index * step + length,
+    }));
+    return Object.keys(this.load.services).flatMap((service) =>
+      windows.map((window) => {
+        const sound = [...this.vms.keys()].filter(
+          (index) =>
+            this.vms[index]?.service === service &&
+            !this.hasHung(index, window.from - recovery, window.to),
+        );
+        const used = sound.filter((index) =>
+          this.startTimes.get(index)?.some((time) => time >= window.from && time < window.to),
+        );
+        return { from: window.from, service, sound: sound.length, used: used.length };
+      }),
+    );
+  }
+
   private createVm(service: string, index: number): SimulatedVm {
     const { clock, random } = this;
     const log = { write: () => {} };
@@ -164,7 +209,7 @@
       names: headerNames,
       clock,
       log,
-      retryLimits: () => ({ ratio: 0.2, slack: 60, window: 10 }),
+      retryLimits: () => ({ ...retryLimits, slack: this.load.retrySlack ?? retryLimits.slack }),
       countTargets: () => services[service] ?? 1,
       mayExclude: (odds) => directory.mayExclude(brandAs<ServiceName>(service), odds),
       checkStart: () => {},
@@ -337,6 +382,7 @@
   ): Promise<StreamedResponse> {
     const kind = this.load.classes.find(({ name }) => name === request.route);
     if (kind === undefined) throw new Error(`no class ${request.route}`);
+    this.recordStart(index);
     const previousStarts = this.starts.get(request.id) ?? 0;
     this.starts.set(request.id, previousStarts + 1);
     if (previousStarts > 0) this.retries += 1;
@@ -353,13 +399,25 @@
     return { status: 200, headers: [], body: Readable.from([]) };
   }
 
+  private recordStart(index: number): void {
+    const times = this.startTimes.get(index) ?? [];
+    times.push(this.clock.elapsed());
+    this.startTimes.set(index, times);
+  }
+
+  /** Whether a target hung at any time between `from` and `to`. */
+  private hasHung(index: number, from: number, to: number): boolean {
+    const { period } = this.load.hangs;
+    const times = [to];
+    for (let time = Math.max(0, from); time < to; time += period) times.push(time);
+    return times.some((time) => this.isHanging(index, time));
+  }
+
   /** Tells whether a target hangs; the set of hanging targets changes in each period. */
-  private isHanging(index: number): boolean {
+  private isHanging(index: number, time = this.clock.elapsed()): boolean {
     const { share, period } = this.load.hangs;
-    const periodIndex = Math.floor(this.clock.elapsed() / period);
-    const random = createRandom(this.load.seed * 7919 + periodIndex * 131 + index);
-    random();
-    return random() < share;
+    const periodIndex = Math.floor(time / period);
+    return hashString(`${periodIndex}/${index}`, this.load.seed) < share * hashRange;
   }
 
   private sampleWork(mean: number): number {
