Send retryable requests to targets that get none

Cause: every entry chooses alone by what it knows lately of a target's health. A target without evidence counts as unhealthy with 0.15, which costs a bid 1.8 s, so all entries use the few targets that they know, and nobody renews the evidence of the others. The choice had no lower bound for the fleet.

A home now reports how long its target has got nothing, and an entry sends the next request that another target could still answer to the longest idle one of its data centre, after 1.2 s also of its region. Bids follow the evidence.

--- a/src/common/dispatch/Placement.test.ts
+++ b/src/common/dispatch/Placement.test.ts
@@ -203,6 +203,29 @@
     });
   });
 
+  const idle = [
+    { name: 'to one that gets none', dataCentre: 'gam-a', time: 500, best: 'idle' },
+    { name: 'to one that got one lately', dataCentre: 'gam-a', time: 300, best: 'known' },
+    { name: 'not if they cannot be retried', dataCentre: 'gam-a', isLast: true, best: 'known' },
+    { name: 'not to a suspected one', dataCentre: 'gam-a', unhealthy: 0.4, best: 'known' },
+    { name: 'not to one with a queue', dataCentre: 'gam-a', queued: 3, best: 'known' },
+    { name: 'not to one that its own entries use', dataCentre: 'gam-b', time: 900, best: 'known' },
+    { name: 'to one that its own entries do not use', dataCentre: 'gam-b', best: 'idle' },
+    { name: 'not to one of another region', dataCentre: 'gte-a', best: 'known' },
+  ];
+  idle.forEach(
+    ({ name, dataCentre, time = 2_000, unhealthy = 0.1, queued = 0, isLast = false, best }) => {
+      it(`sends retryable requests ${name}, so that healthy targets stay in use`, () => {
+        const known = { ...candidate('known', 'gam-a', 0, 0.01), idle: 50 };
+        const unused = { ...candidate('idle', dataCentre, queued, unhealthy), idle: time };
+        const placement = new Placement(location, defaultLocality, withoutTrials);
+        const [first] = placement.rank([known, unused], context({ isLast }));
+        expect(first?.candidate.target).to.equal(best);
+        expect(first?.isTrial).to.equal(false);
+      });
+    },
+  );
+
   const unproven = [
     { name: 'that has just joined', dataCentre: 'gam-a', queued: 0, best: 'new' },
     { name: 'of no other data centre', dataCentre: 'gam-b', queued: 0, best: 'known' },
--- a/src/common/dispatch/Placement.ts
+++ b/src/common/dispatch/Placement.ts
@@ -21,6 +21,10 @@
 const refusedProbability = 0.5;
 /** Share of the prior probability of being unhealthy from which nothing is known of a target. */
 const unprovenShare = 0.8;
+/** Milliseconds without a request after which a target gets the next one that can be retried elsewhere. */
+const maxIdleTime = 400;
+/** The same for a target of another data centre, which that one should have used by then. */
+const maxDistantIdleTime = 1_200;
 /** Unhealthy probability above which a target gets trial requests; its home limits their rate. */
 const trialProbability = 0.3;
 
@@ -88,6 +92,21 @@
   return unhealthyProbability >= unprovenShare * logistic(priorLogOdds);
 }
 
+/** Candidate that has got no request for longest, if that is longer than `limit` milliseconds. */
+function longestIdle(
+  ranked: readonly RankedCandidate[],
+  limit: number,
+): RankedCandidate | undefined {
+  const idleTime = ({ candidate: { idle } }: RankedCandidate): number => idle ?? 0;
+  return ranked
+    .filter((candidate) => idleTime(candidate) > limit)
+    .sort((left, right) => idleTime(right) - idleTime(left))[0];
+}
+
+function isSuspected({ unhealthyProbability }: RankedCandidate): boolean {
+  return unhealthyProbability > trialProbability;
+}
+
 /** Properties of a request that determine its cost at a candidate. */
 export interface PlacementContext {
   readonly call: IncomingCall;
@@ -160,23 +179,43 @@
   }
 
   /**
-   * Ranks another target first for a share of the requests that can be retried elsewhere: a suspected one, else one of
-   * which nothing is known lately, such as one that has just joined. Each data centre tries its own targets; one that has
-   * none of the service tries those of its region.
+   * Ranks another target first for requests that can be retried elsewhere, to learn of its health: a suspected target for
+   * a share of the requests; then one that gets no requests, since otherwise the entries, which know the same few targets
+   * to be healthy, would leave the others unused; then one of which nothing is known, such as one that has just joined.
    */
   private preferTrial(ranked: RankedCandidate[]): RankedCandidate[] {
-    if (this.random() >= trialShare) return ranked;
-    const { dataCentre } = this.location;
-    const own = ranked.filter(({ candidate }) => candidate.dataCentre === dataCentre);
-    const free = (own.length > 0 ? own : ranked).filter(
-      ({ isRemote, wait }) => !isRemote && wait === 0,
-    );
-    const isSuspected = ({ unhealthyProbability }: RankedCandidate): boolean =>
-      unhealthyProbability > trialProbability;
-    const suspected = oldest(free.filter(isSuspected));
-    const chosen = suspected ?? oldest(free.filter(isUnproven));
+    const near = ranked.filter(({ isRemote, wait }) => !isRemote && wait === 0);
+    const own = this.ownTargets(ranked, near);
+    const isInTrialShare = this.random() < trialShare;
+    const suspected = isInTrialShare ? oldest(own.filter(isSuspected)) : undefined;
+    const chosen =
+      suspected ??
+      this.idleTarget(own, near) ??
+      (isInTrialShare ? oldest(own.filter(isUnproven)) : undefined);
     if (chosen === undefined) return ranked;
     const isTrial = chosen === suspected;
     return [{ ...chosen, isTrial }, ...ranked.filter((candidate) => candidate !== chosen)];
   }
+
+  /** Each data centre tries its own targets; one that has none of the service tries those of its region. */
+  private ownTargets(
+    ranked: readonly RankedCandidate[],
+    near: readonly RankedCandidate[],
+  ): readonly RankedCandidate[] {
+    const isOwn = ({ candidate }: RankedCandidate): boolean =>
+      candidate.dataCentre === this.location.dataCentre;
+    return ranked.some(isOwn) ? near.filter(isOwn) : near;
+  }
+
+  private idleTarget(
+    own: readonly RankedCandidate[],
+    near: readonly RankedCandidate[],
+  ): RankedCandidate | undefined {
+    const unsuspected = (candidates: readonly RankedCandidate[]): readonly RankedCandidate[] =>
+      candidates.filter((candidate) => !isSuspected(candidate));
+    return (
+      longestIdle(unsuspected(own), maxIdleTime) ??
+      longestIdle(unsuspected(near), maxDistantIdleTime)
+    );
+  }
 }
--- a/src/common/dispatch/Types.ts
+++ b/src/common/dispatch/Types.ts
@@ -45,6 +45,8 @@
   readonly work: number;
   /** Log-odds that the target hangs or fails most of its requests. */
   readonly sickness: number;
+  /** Milliseconds since the target last got a request; undefined if its home does not report it. */
+  readonly idle?: number;
 }
 
 /** Condition of a target that one daemon passes on to another. */
@@ -131,6 +133,8 @@
   readonly condition?: TargetCondition;
   /** Milliseconds since `condition` was learned. */
   readonly age: number;
+  /** Milliseconds since the target last got a request, as far as is known; undefined if nothing is known of it. */
+  readonly idle?: number;
 }
 
 /** Sends an attempt to a home; throws `HomeRefusalError` if it was not run, otherwise `OutcomeUnknownError`. */
--- a/src/common/fleet/FleetDirectory.test.ts
+++ b/src/common/fleet/FleetDirectory.test.ts
@@ -64,6 +64,18 @@
     expect(second.unhealthyProbability(target('t-b'))).to.equal(logistic(priorLogOdds));
   });
 
+  it('counts own requests against the reported idle time, so that an entry does not use one target again and again', () => {
+    const { clock, directory } = create(['a', 'b']);
+    clock.advance(5_000);
+    ['a', 'b'].forEach((name) => {
+      directory.recordCondition(target(`t-${name}`), { ...condition(0.1), idle: 1_000 });
+    });
+    directory.adjustInFlight(target('t-a'), 1);
+    clock.advance(300);
+    const idle = directory.candidates(service).map(({ idle: time }) => time);
+    expect(idle).to.deep.equal([300, 1_300]);
+  });
+
   it('keeps a newer condition when an older report arrives later', () => {
     const { clock, directory } = create(['a']);
     clock.advance(5_000);
--- a/src/common/fleet/FleetDirectory.ts
+++ b/src/common/fleet/FleetDirectory.ts
@@ -45,6 +45,8 @@
   inFlight: number;
   condition: TargetCondition | undefined;
   learnedAt: number;
+  /** Time at which this daemon last sent it a request. */
+  sentAt: number | undefined;
 }
 
 /** Daemons and targets of the fleet: listed by the store, with their state as observed by this daemon. */
@@ -208,6 +210,7 @@
     if (change < 0 && !this.observations.has(target)) return;
     const observation = this.observationOf(target);
     observation.inFlight = Math.max(0, observation.inFlight + change);
+    if (change > 0) observation.sentAt = this.clock.elapsed();
   }
 
   /** Targets of a service that may be used now. */
@@ -301,6 +304,7 @@
 
   private createCandidate(record: DaemonRecord, target: PublishedTarget, now: number): Candidate {
     const observation = this.observationOf(target.id);
+    const age = now - observation.learnedAt;
     return {
       daemon: record.daemon,
       recordVersion: recordVersion(record),
@@ -313,14 +317,23 @@
       slots: target.slots,
       inFlight: observation.inFlight,
       condition: observation.condition,
-      age: now - observation.learnedAt,
+      age,
+      idle: FleetDirectory.idleTime(observation, now),
     };
   }
 
+  private static idleTime(
+    { condition, learnedAt, sentAt = -Infinity }: TargetObservation,
+    now: number,
+  ): number | undefined {
+    if (condition?.idle === undefined) return undefined;
+    return Math.min(condition.idle + now - learnedAt, now - sentAt);
+  }
+
   private observationOf(target: TargetId): TargetObservation {
     let observation = this.observations.get(target);
     if (observation === undefined) {
-      observation = { inFlight: 0, condition: undefined, learnedAt: 0 };
+      observation = { inFlight: 0, condition: undefined, learnedAt: 0, sentAt: undefined };
       this.observations.set(target, observation);
     }
     return observation;
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -433,7 +433,10 @@
   }
 
   /** Current condition; `runningDelta` adjusts the number of running requests. */
-  private conditionOf({ queue, health }: HostedTarget, runningDelta: number): TargetCondition {
+  private conditionOf(
+    { queue, health, usage }: HostedTarget,
+    runningDelta: number,
+  ): TargetCondition {
     const { running, queued, slots } = queue.load;
     return {
       running: Math.max(0, running + runningDelta),
@@ -441,6 +444,7 @@
       slots,
       work: Math.round(queue.meanServiceTime),
       sickness: Number(health.logOdds.toFixed(2)),
+      idle: Math.round(usage.idleTime),
     };
   }
 
@@ -474,9 +478,9 @@
         this.write('info', 'target gets no requests', {
           target: id,
           service: hosted.report.service,
-          idle: Math.round(idleTime),
           refused,
           ...this.conditionOf(hosted, 0),
+          idle: Math.round(idleTime),
         });
       });
       this.scheduleUsageCheck();
--- a/src/sidecar/peer/compactPeerCodec.ts
+++ b/src/sidecar/peer/compactPeerCodec.ts
@@ -20,6 +20,8 @@
 const ageUnit = 10;
 /** Unit of log-odds. */
 const logOddsUnit = 0.1;
+/** Unit of the time without requests in milliseconds. */
+const idleUnit = 100;
 /** Base of the numbers of a condition. */
 const compactRadix = 36;
 /** Value of the failure whose outcome is unknown; no refusal has this reason. */
@@ -52,20 +54,24 @@
   }
 }
 
-function encodeCondition({ running, queued, slots, work, sickness }: TargetCondition): string {
+function encodeCondition(condition: TargetCondition): string {
+  const { running, queued, slots, work, sickness, idle } = condition;
   return [running, queued, slots, work, sickness / logOddsUnit]
+    .concat(idle === undefined ? [] : idle / idleUnit)
     .map((value) => Math.round(value).toString(compactRadix))
     .join(valueSeparator);
 }
 
 function decodeCondition(values: readonly string[]): TargetCondition {
-  const [running, queued, slots, work, sickness] = values;
+  const [running, queued, slots, work, sickness, idle] = values;
   return {
     running: readInteger(running, compactRadix),
     queued: readInteger(queued, compactRadix),
     slots: readInteger(slots, compactRadix),
     work: readInteger(work, compactRadix),
     sickness: readInteger(sickness, compactRadix) * logOddsUnit,
+    // Daemons of an earlier build send no more values, and ignore them.
+    ...(idle === undefined ? {} : { idle: readInteger(idle, compactRadix) * idleUnit }),
   };
 }
 
--- a/src/sidecar/peer/jsonPeerCodec.ts
+++ b/src/sidecar/peer/jsonPeerCodec.ts
@@ -113,13 +113,14 @@
   queued: number,
   slots: number,
   work: number,
+  idle?: number,
 ];
 
 /** Encodes conditions as a header value. */
 function encodeConditions(reports: readonly ConditionReport[]): string {
   const rows = reports.map(({ target, age, condition }): EncodedCondition => {
-    const { sickness, running, queued, slots, work } = condition;
-    return [target, Math.round(age), sickness, running, queued, slots, work];
+    const { sickness, running, queued, slots, work, idle } = condition;
+    return [target, Math.round(age), sickness, running, queued, slots, work, idle];
   });
   return JSON.stringify(rows);
 }
@@ -129,10 +130,17 @@
   if (value === undefined) return [];
   try {
     const rows = JSON.parse(value) as readonly EncodedCondition[];
-    return rows.map(([target, age, sickness, running, queued, slots, work]) => ({
+    return rows.map(([target, age, sickness, running, queued, slots, work, idle]) => ({
       target: brandAs<TargetId>(target),
       age,
-      condition: { sickness, running, queued, slots, work },
+      condition: {
+        sickness,
+        running,
+        queued,
+        slots,
+        work,
+        ...(typeof idle === 'number' ? { idle } : {}),
+      },
     }));
   } catch {
     // Without new conditions this daemon keeps older ones.
--- a/src/sidecar/peer/peerCodecs.test.ts
+++ b/src/sidecar/peer/peerCodecs.test.ts
@@ -19,14 +19,19 @@
   maxLength: 20,
 });
 const count = fc.nat({ max: 10_000 });
-const condition = fc.record({
-  running: count,
-  queued: count,
-  slots: count,
-  work: count,
-  // In tenths, the resolution of the compact encoding.
-  sickness: fc.integer({ min: -80, max: 80 }).map((tenths) => tenths / 10),
-});
+const condition = fc.record(
+  {
+    running: count,
+    queued: count,
+    slots: count,
+    work: count,
+    // In tenths, the resolution of the compact encoding.
+    sickness: fc.integer({ min: -80, max: 80 }).map((tenths) => tenths / 10),
+    // In tenths of a second; daemons of an earlier build send none.
+    idle: count.map((units) => units * 100),
+  },
+  { requiredKeys: ['running', 'queued', 'slots', 'work', 'sickness'] },
+);
 const conditions = fc.option(
   fc.array(
     fc.record({
