Keep to the rate that a target says it takes

Cause: no daemon read the limit that a target names in its answers.

The home is the only way to its target and sees each of its answers, so it keeps to the limit alone, without agreement: starts are spaced evenly (GCRA) with half a second of the rate saved up at most. What is queued waits for the limit by rank like for a slot, and what it would keep waiting too long is refused at once with the time until a start. Retries, hedges and queued requests pass the same queue. The next answer without a limit lifts it; a limit of zero lets a request through in 4 s, since only an answer can lift it. Conditions carry the spacing and the wait, so that entries go elsewhere first; daemons of the build before ignore these values.

--- a/src/common/admission/SlotQueue.test.ts
+++ b/src/common/admission/SlotQueue.test.ts
@@ -41,6 +41,43 @@
     expect(events).to.deep.equal(['first runs', 'bid runs', 'listing runs']);
   });
 
+  it('starts queued requests by the rate limit of the target, those of lower rank first', async () => {
+    const { clock, events, queue, submit } = create(5);
+    queue.limitRate(1);
+    submit('first');
+    submit('listing', { rank: 2 });
+    submit('bid', { rank: 0 });
+    await clock.advanceAsync(999);
+    expect(events).to.deep.equal(['first runs']);
+    await clock.advanceAsync(1_001);
+    expect(events).to.deep.equal(['first runs', 'bid runs', 'listing runs']);
+  });
+
+  it('refuses at once what the rate limit of the target would keep waiting too long', async () => {
+    const { clock, events, queue, submit } = create(5);
+    queue.limitRate(1);
+    submit('first');
+    submit('listing', { rank: 2, maxQueueWait: 1_500 });
+    submit('late', { rank: 2, maxQueueWait: 1_500 });
+    await clock.advanceAsync(0);
+    expect(events).to.deep.equal(['first runs', 'late busy']);
+    submit('bid', { rank: 0, maxQueueWait: 1_500 });
+    queue.refuseUnservable();
+    await clock.advanceAsync(0);
+    expect(events).to.deep.equal(['first runs', 'late busy', 'listing busy']);
+  });
+
+  it('starts queued requests when the target lifts its limit', async () => {
+    const { clock, events, queue, submit } = create(5);
+    queue.limitRate(0);
+    submit('first');
+    submit('next');
+    await clock.advanceAsync(10);
+    queue.limitRate(undefined);
+    await clock.advanceAsync(0);
+    expect(events).to.deep.equal(['first runs', 'next runs']);
+  });
+
   it('serves requests with a shorter latency goal first within a rank', async () => {
     const { clock, events, permits, submit } = create(1);
     submit('first');
--- a/src/common/admission/SlotQueue.ts
+++ b/src/common/admission/SlotQueue.ts
@@ -1,5 +1,6 @@
 import { left, right, type Either } from 'fp-ts/lib/Either.js';
 import type { Clock, Disposable } from '../base/index.js';
+import { RateLimit } from './RateLimit.js';
 
 /** Assumed mean time in a slot, in milliseconds, before the first request has ended. */
 const initialMeanTime = 300;
@@ -41,6 +42,10 @@
   readonly running: number;
   readonly queued: number;
   readonly slots: number;
+  /** Milliseconds between starts if the target limits its rate. */
+  readonly interval: number | undefined;
+  /** Milliseconds until another request could start by that limit. */
+  readonly limitWait: number;
 }
 
 interface QueuedRequest extends SlotRequest {
@@ -69,10 +74,17 @@
 
   private meanTime = initialMeanTime;
 
+  private readonly rateLimit: RateLimit;
+
+  /** Runs while requests are queued that only the rate limit keeps from starting. */
+  private limitTimer: Disposable | undefined;
+
   public constructor(
     private slots: number,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.rateLimit = new RateLimit(clock);
+  }
 
   /** Requests that hold a slot, including stuck ones. */
   public get running(): number {
@@ -96,9 +108,17 @@
       running: this.usedSlots.size - stuck,
       queued: this.queue.length,
       slots: Math.max(0, this.slots - stuck),
+      interval: this.rateLimit.interval,
+      limitWait: this.rateLimit.waitFor(this.queue.length),
     };
   }
 
+  /** Limits the starts of requests to a rate per second; undefined removes the limit. */
+  public limitRate(rate: number | undefined): void {
+    this.rateLimit.set(rate);
+    this.startNext();
+  }
+
   public resize(slots: number): void {
     this.slots = slots;
     this.startNext();
@@ -152,10 +172,15 @@
 
   public dispose(): void {
     this.evict('draining', () => true);
+    this.limitTimer?.dispose();
   }
 
-  /** Expected milliseconds until a request with `ahead` others before it gets a slot. */
+  /** Expected milliseconds until a request with `ahead` others before it starts. */
   private estimateWait(ahead: number): number {
+    return Math.max(this.estimateSlotWait(ahead), this.rateLimit.waitFor(ahead));
+  }
+
+  private estimateSlotWait(ahead: number): number {
     if (this.usedSlots.size + ahead < this.slots) return 0;
     const { running, slots } = this.load;
     if (slots === 0) return allStuckWait;
@@ -197,9 +222,17 @@
   }
 
   private startNext(): void {
+    this.limitTimer?.dispose();
+    this.limitTimer = undefined;
     while (this.usedSlots.size < this.slots) {
       const [next] = this.ordered();
       if (next === undefined) return;
+      const limitWait = this.rateLimit.waitFor(0);
+      if (limitWait > 0) {
+        this.limitTimer = this.clock.after(limitWait, () => this.startNext());
+        return;
+      }
+      this.rateLimit.recordStart();
       this.remove(next);
       next.decide(right(this.createPermit()));
     }
--- a/src/common/dispatch/Placement.test.ts
+++ b/src/common/dispatch/Placement.test.ts
@@ -52,6 +52,13 @@
   return { ...known, slots: 5, condition };
 }
 
+/** Candidate that takes one request a second, the next one after `wait` milliseconds. */
+function limited(name: string, dataCentre: string, wait: number): Candidate {
+  const known = candidate(name, dataCentre);
+  if (known.condition === undefined) return known;
+  return { ...known, condition: { ...known.condition, limit: { interval: 1_000, wait } } };
+}
+
 function context(overrides: Partial<PlacementContext> = {}): PlacementContext {
   const route = {
     name: 'download',
@@ -144,6 +151,24 @@
       context: { kilobytes: 90, maxQueueWait: 200 },
       best: 'other',
     },
+    {
+      name: 'uses another target rather than wait for the rate limit of one',
+      candidates: [limited('limited', 'gam-a', 900), candidate('other', 'gam-b')],
+      best: 'other',
+    },
+    {
+      name: 'uses a target with a rate limit once the wait for it has passed',
+      candidates: [{ ...limited('limited', 'gam-a', 900), age: 950 }, candidate('other', 'gam-b')],
+      best: 'limited',
+    },
+    {
+      name: 'counts its own request since the report against a rate limit',
+      candidates: [
+        { ...limited('limited', 'gam-a', 0), age: 300, idle: 100 },
+        candidate('other', 'gam-b'),
+      ],
+      best: 'other',
+    },
     {
       name: 'stays in the region while the wait is short',
       candidates: [candidate('near', 'gam-a', 1), candidate('far', 'gte-a')],
--- a/src/common/dispatch/Placement.ts
+++ b/src/common/dispatch/Placement.ts
@@ -64,8 +64,17 @@
   readonly isTrial: boolean;
 }
 
+/** Expected wait in milliseconds by the rate limit of a target. */
+function limitWait({ condition, age, idle = Infinity }: Candidate): number {
+  const limit = condition?.limit;
+  if (limit === undefined) return 0;
+  // The report does not count a request that this daemon sent since.
+  const ownWait = idle < age ? limit.interval - idle : 0;
+  return Math.max(0, limit.wait - age, ownWait);
+}
+
 /** Expected wait for a slot in milliseconds, from the last condition reported by the home and the own requests. */
-function expectedWait({ slots, inFlight, condition, age }: Candidate): number {
+function slotWait({ slots, inFlight, condition, age }: Candidate): number {
   if (condition === undefined) return inFlight < slots ? 0 : inFlight * 100;
   const weight = 0.5 ** (age / loadHalfLife);
   const reported = condition.running + condition.queued;
@@ -76,6 +85,10 @@
   return waiting > 0 ? (waiting * condition.work) / Math.max(minServingSlots, serving) : 0;
 }
 
+function expectedWait(candidate: Candidate): number {
+  return Math.max(slotWait(candidate), limitWait(candidate));
+}
+
 /** Share of occupied slots, 0 to 1. */
 function occupancy({ slots, inFlight, condition, age }: Candidate): number {
   const reported = condition === undefined ? 0 : condition.running * 0.5 ** (age / loadHalfLife);
--- a/src/common/dispatch/Types.ts
+++ b/src/common/dispatch/Types.ts
@@ -47,6 +47,16 @@
   readonly sickness: number;
   /** Milliseconds since the target last got a request; undefined if its home does not report it. */
   readonly idle?: number;
+  /** Limit of the rate at which it takes requests; undefined without one. */
+  readonly limit?: RateCondition;
+}
+
+/** State of a rate limit. */
+export interface RateCondition {
+  /** Milliseconds between requests. */
+  readonly interval: number;
+  /** Milliseconds until another request could start. */
+  readonly wait: number;
 }
 
 /** Condition of a target that one daemon passes on to another. */
--- a/src/sidecar/CallerServer.test.ts
+++ b/src/sidecar/CallerServer.test.ts
@@ -18,6 +18,7 @@
   callerService: 'caller',
   signature: 'signature',
   notRun: 'not-run',
+  rateLimit: 'rate-limit',
 };
 
 /** Server for callers whose dispatcher answers as the test says. */
--- a/src/sidecar/FleetLoad.test.ts
+++ b/src/sidecar/FleetLoad.test.ts
@@ -73,6 +73,15 @@
   ],
 };
 
+/** Milliseconds after which a limit binds, and the window in which starts are counted. */
+const stableWindow = 3_000;
+const limitWindow = 4_000;
+
+/** Starts in a window that the users allow a target that takes `rate` requests per second. */
+function allowedStarts(rate: number): number {
+  return (1.5 * rate * limitWindow) / 1_000 + 5;
+}
+
 /** Shares of the requests of a class that were answered, and answered within the target latency. */
 function servedShares(fleet: SimulatedFleet, name: string): { served: number; timely: number } {
   const { sent = 1, served = 0, withinGoal: timely = 0 } = fleet.results.get(name) ?? {};
@@ -123,6 +132,23 @@
     expect(failed / sent).to.be.below((share * loss) / 2);
   });
 
+  it('keeps to the rate limits that targets name and serves the rest elsewhere', async () => {
+    const limits = { service: 'catalogo', share: 0.7, rate: 1 };
+    const fleet = await runFleet(1, { limits });
+    const limited = [...Array(24).keys()].filter((index) => fleet.rateLimitOf(index) !== undefined);
+    expect(limited).to.have.length(6);
+    const excess = limited.filter((index) => {
+      const times = fleet.startsAt(index).filter((time) => time >= stableWindow);
+      return times.some(
+        (from) =>
+          times.filter((time) => time >= from && time < from + limitWindow).length >
+          allowedStarts(limits.rate),
+      );
+    });
+    expect(excess).to.deep.equal([]);
+    expect(servedShares(fleet, 'browse').served).to.be.at.least(0.85);
+  });
+
   it('serves nearly all requests when all targets are healthy, so that health checks cost no capacity', async () => {
     const fleet = await runFleet(1, { hangs: { share: 0, loss: 0, period: 9_000 } });
     expect(servedShares(fleet, 'bid').served).to.be.at.least(0.97);
--- a/src/sidecar/Home.test.ts
+++ b/src/sidecar/Home.test.ts
@@ -23,6 +23,7 @@
   callerService: 'caller',
   signature: 'signature',
   notRun: 'not-run',
+  rateLimit: 'rate-limit',
 };
 const { signal } = new AbortController();
 
@@ -363,6 +364,73 @@
     });
   });
 
+  const limitCases: readonly {
+    readonly name: string;
+    readonly respond: (request: RawRequest) => string;
+    readonly rateLimit: number | undefined;
+  }[] = [
+    {
+      name: 'reads the limit that a target names in an answer',
+      respond: (request) => answer(request, 'rate-limit: 0.5\r\ncontent-length: 0\r\n', ''),
+      rateLimit: 0.5,
+    },
+    {
+      name: 'reads the limit that a target names in a refusal',
+      respond: (request) =>
+        refusal(request.header(names.requestId)).replace('not-run', 'rate-limit: 0.5\r\nnot-run'),
+      rateLimit: 0.5,
+    },
+    {
+      name: 'reads the limit that a target names in a failure',
+      respond: (request) =>
+        answer(request, 'rate-limit: 0.5\r\ncontent-length: 0\r\n', '', '500 Failed'),
+      rateLimit: 0.5,
+    },
+    {
+      name: 'ignores the limit in an extra response to another request',
+      respond: () => refusal('r-0').replace('not-run', 'rate-limit: 0.5\r\nnot-run'),
+      rateLimit: undefined,
+    },
+    {
+      name: 'ignores a limit that is no number',
+      respond: (request) => answer(request, 'rate-limit: -1\r\ncontent-length: 0\r\n', ''),
+      rateLimit: undefined,
+    },
+  ];
+  limitCases.forEach(({ name, respond, rateLimit }) => {
+    it(name, async () => {
+      target.handler = (socket, request) => socket.write(respond(request));
+      await run(home);
+      expect(home.rateLimit).to.equal(rateLimit);
+    });
+  });
+
+  it('sends no more requests than a target says it takes', async () => {
+    target.handler = (socket, request) => {
+      socket.write(answer(request, 'rate-limit: 0.5\r\ncontent-length: 0\r\n', ''));
+    };
+    const results = [await run(home), await run(home), await run(home), await run(home)];
+    expect(results).to.deep.equal(['200 ', '200 ', ...Array(2).fill('not run: queue-full')]);
+    expect(target.requests).to.have.length(2);
+  });
+
+  it('lifts a rate limit with the next answer that names none', async () => {
+    target.handler = (socket, request) => {
+      socket.write(answer(request, 'rate-limit: 0.5\r\ncontent-length: 0\r\n', ''));
+    };
+    await run(home);
+    expect(home.rateLimit).to.equal(0.5);
+    target.handler = (socket, request) => {
+      socket.write(answer(request, 'content-length: 0\r\n', ''));
+    };
+    expect([await run(home), await run(home), await run(home)]).to.deep.equal([
+      '200 ',
+      '200 ',
+      '200 ',
+    ]);
+    expect(home.rateLimit).to.equal(undefined);
+  });
+
   it('runs retries only within the retry budget', async () => {
     const change = { isRetry: true, isIdempotent: true };
     expect(await run(home, change)).to.equal('200 good');
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -24,6 +24,7 @@
 import { createFingerprint } from '../daemon/fingerprint.js';
 import { TargetFailure } from '../daemon/TargetFailure.js';
 import { TargetHttpClient } from './TargetHttpClient.js';
+import type { TargetNotice } from './targetNotice.js';
 import type {
   BodyProvider,
   HeaderNames,
@@ -43,6 +44,8 @@
 /** Milliseconds between checks for idle targets. */
 const usageCheckInterval = 500;
 const firstServerError = 500;
+/** Characters of an invalid header value in a log line. */
+const maxLoggedLength = 40;
 
 const refusalReasons: Readonly<Record<SlotRefusal['reason'], RefusalReason>> = {
   busy: 'queue-full',
@@ -60,6 +63,8 @@
   readonly trialLimiter: TrialRequestLimiter;
   readonly usage: TargetUsage;
   downUntil: number;
+  /** Requests per second that it takes, as it named them last; undefined without a limit. */
+  rateLimit: number | undefined;
 }
 
 /** A request that was sent to a target. */
@@ -82,8 +87,14 @@
   readonly countTargets: () => number;
   /** Whether a target with these log-odds of being unhealthy may be excluded, which must leave enough targets. */
   readonly mayExclude: (unhealthyLogOdds: number) => boolean;
-  /** Creates the connection to a target; HTTP/1.1 by default. */
-  readonly connect?: (report: TargetReport) => TargetConnection;
+  /**
+   * Creates the connection to a target; HTTP/1.1 by default. `onNotice` must be called with what the target says of
+   * itself in each response.
+   */
+  readonly connect?: (
+    report: TargetReport,
+    onNotice: (notice: TargetNotice) => void,
+  ) => TargetConnection;
   /** Throws `NotRunError` if a request must not be sent to its target. */
   readonly checkStart: (request: GuardedRequest) => void;
 }
@@ -143,6 +154,11 @@
     return times.length === 0 ? undefined : Math.min(...times);
   }
 
+  /** Requests per second that the target of this VM takes; undefined without a limit. */
+  public get rateLimit(): number | undefined {
+    return [...this.hosted.values()].find(({ rateLimit }) => rateLimit !== undefined)?.rateLimit;
+  }
+
   /** Targets as published to the fleet. */
   public get publishedTargets(): readonly PublishedTarget[] {
     return this.registry.targets.map((report) => ({
@@ -259,9 +275,12 @@
   private createHostedTarget(report: TargetReport): HostedTarget {
     const { names, clock, connect } = this.settings;
     const { address, slots } = report;
-    const connection = connect?.(report) ?? new TargetHttpClient({ address, slots, names });
     const queue = new SlotQueue(slots, clock);
-    return {
+    const notices = new Emitter<TargetNotice>();
+    const onNotice = (notice: TargetNotice): void => notices.fire(notice);
+    const connection =
+      connect?.(report, onNotice) ?? new TargetHttpClient({ address, slots, names, onNotice });
+    const hosted: HostedTarget = {
       report,
       connection,
       queue,
@@ -269,11 +288,38 @@
       trialLimiter: new TrialRequestLimiter(clock),
       usage: new TargetUsage(clock),
       downUntil: 0,
+      rateLimit: undefined,
       dispose: () => {
+        notices.dispose();
         queue.dispose();
         connection.dispose();
       },
     };
+    notices.event((notice) => this.applyNotice(hosted, notice));
+    return hosted;
+  }
+
+  /** Applies what a target said of itself in a response. */
+  private applyNotice(hosted: HostedTarget, notice: TargetNotice): void {
+    const { rateLimit, invalidLimit } = notice;
+    if (invalidLimit === undefined) {
+      if (rateLimit !== hosted.rateLimit) this.limitRate(hosted, rateLimit);
+      return;
+    }
+    this.write('warn', 'ignored a rate limit that is not a number', {
+      target: hosted.report.id,
+      value: invalidLimit.slice(0, maxLoggedLength),
+    });
+  }
+
+  private limitRate(hosted: HostedTarget, rateLimit: number | undefined): void {
+    this.write('info', 'target changed its rate limit', {
+      target: hosted.report.id,
+      before: hosted.rateLimit,
+      rateLimit,
+    });
+    hosted.rateLimit = rateLimit;
+    hosted.queue.limitRate(rateLimit);
   }
 
   private async admit(
@@ -437,7 +483,7 @@
     { queue, health, usage }: HostedTarget,
     runningDelta: number,
   ): TargetCondition {
-    const { running, queued, slots } = queue.load;
+    const { running, queued, slots, interval, limitWait } = queue.load;
     return {
       running: Math.max(0, running + runningDelta),
       queued,
@@ -445,9 +491,18 @@
       work: Math.round(queue.meanServiceTime),
       sickness: Number(health.logOdds.toFixed(2)),
       idle: Math.round(usage.idleTime),
+      ...(interval === undefined
+        ? {}
+        : { limit: { interval: Math.ceil(interval), wait: Math.ceil(limitWait) } }),
     };
   }
 
+  /** Current condition as fields of a log line. */
+  private loggedCondition(hosted: HostedTarget): Readonly<Record<string, number | undefined>> {
+    const { limit, ...condition } = this.conditionOf(hosted, 0);
+    return { ...condition, rateLimit: hosted.rateLimit, limitWait: limit?.wait };
+  }
+
   /** Re-checks queued requests while there are any, since the target may become unhealthy meanwhile. */
   private scheduleReview(): void {
     if (this.reviewTimer !== undefined) return;
@@ -479,7 +534,7 @@
           target: id,
           service: hosted.report.service,
           refused,
-          ...this.conditionOf(hosted, 0),
+          ...this.loggedCondition(hosted),
           idle: Math.round(idleTime),
         });
       });
@@ -508,7 +563,7 @@
         entry: request.entry,
         patience: Math.round(request.maxQueueWait),
         retryAfter,
-        ...condition,
+        ...(hosted === undefined ? {} : this.loggedCondition(hosted)),
       },
     });
     return new HomeRefusalError(
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -530,6 +530,7 @@
   }
 
   private gauges(): Readonly<Record<string, number>> {
+    const { rateLimit } = this.home;
     return {
       ready: this.isReady ? 1 : 0,
       configuration_version: this.traffic.version,
@@ -537,6 +538,7 @@
       callers_in_flight: this.callerServer.load,
       home_in_flight: this.home.load,
       target_idle_milliseconds: Math.round(this.home.idleTime ?? 0),
+      ...(rateLimit === undefined ? {} : { target_rate_limit: rateLimit }),
       store_in_touch: this.fleetWatcher.isConnected ? 1 : 0,
       registered: this.registration.isWritten ? 1 : 0,
     };
--- a/src/sidecar/TargetHttpClient.ts
+++ b/src/sidecar/TargetHttpClient.ts
@@ -13,6 +13,7 @@
 import { failOnReset } from './failOnReset.js';
 import { IdleCheckingAgent } from './IdleCheckingAgent.js';
 import { limitOverhead } from './limitOverhead.js';
+import { readTargetNotice, type TargetNotice } from './targetNotice.js';
 import type { HeaderNames, HomeRequest, StreamedResponse, TargetConnection } from './Types.js';
 
 /** Connect timeout in milliseconds on the same VM. */
@@ -44,6 +45,8 @@
   readonly address: string;
   readonly slots: number;
   readonly names: HeaderNames;
+  /** Called with what the target says of itself in each of its responses. */
+  readonly onNotice: (notice: TargetNotice) => void;
 }
 
 /** Whether the body ends by length or framing rather than by closing the connection. */
@@ -178,6 +181,7 @@
       discard(response);
       throw this.createFailure('invalid', 'response does not have the id of the request');
     }
+    this.settings.onNotice(readTargetNotice(headers, names));
     if (findHeader(headers, names.notRun) !== undefined || status === misdirectedStatus) {
       skipBody(response);
       throw this.createRefusal(status);
--- a/src/sidecar/Types.ts
+++ b/src/sidecar/Types.ts
@@ -17,6 +17,8 @@
   readonly signature: string;
   /** Present if the target did not run the request. */
   readonly notRun: string;
+  /** Requests per second that the target takes from all daemons together. */
+  readonly rateLimit: string;
 }
 
 /** Metadata of a request that an entry forwards to a home, sent in one header. */
--- a/src/sidecar/endlessResponses.test.ts
+++ b/src/sidecar/endlessResponses.test.ts
@@ -33,6 +33,7 @@
   callerService: 'caller',
   signature: 'signature',
   notRun: 'not-run',
+  rateLimit: 'rate-limit',
 };
 const target = brandAs<TargetId>('t-1');
 const daemon = brandAs<DaemonId>('d-1');
--- a/src/sidecar/peer/compactPeerCodec.ts
+++ b/src/sidecar/peer/compactPeerCodec.ts
@@ -18,6 +18,8 @@
 const fixedValues = 9;
 /** Unit of the age of a condition in milliseconds. */
 const ageUnit = 10;
+/** Separators after the last value that is not empty. */
+const trailingSeparators = /,+$/;
 /** Unit of log-odds. */
 const logOddsUnit = 0.1;
 /** Unit of the time without requests in milliseconds. */
@@ -55,23 +57,28 @@
 }
 
 function encodeCondition(condition: TargetCondition): string {
-  const { running, queued, slots, work, sickness, idle } = condition;
-  return [running, queued, slots, work, sickness / logOddsUnit]
-    .concat(idle === undefined ? [] : idle / idleUnit)
-    .map((value) => Math.round(value).toString(compactRadix))
-    .join(valueSeparator);
+  const { running, queued, slots, work, sickness, idle, limit } = condition;
+  const optional = [idle === undefined ? undefined : idle / idleUnit, limit?.interval, limit?.wait];
+  return [running, queued, slots, work, sickness / logOddsUnit, ...optional]
+    .map((value) => (value === undefined ? '' : Math.round(value).toString(compactRadix)))
+    .join(valueSeparator)
+    .replace(trailingSeparators, '');
 }
 
 function decodeCondition(values: readonly string[]): TargetCondition {
-  const [running, queued, slots, work, sickness, idle] = values;
+  const [running, queued, slots, work, sickness, ...optional] = values;
+  // Daemons of an earlier build send no more values, and ignore them.
+  const [idle, interval, wait] = optional.map((text) =>
+    text === '' ? undefined : readInteger(text, compactRadix),
+  );
   return {
     running: readInteger(running, compactRadix),
     queued: readInteger(queued, compactRadix),
     slots: readInteger(slots, compactRadix),
     work: readInteger(work, compactRadix),
     sickness: readInteger(sickness, compactRadix) * logOddsUnit,
-    // Daemons of an earlier build send no more values, and ignore them.
-    ...(idle === undefined ? {} : { idle: readInteger(idle, compactRadix) * idleUnit }),
+    ...(idle === undefined ? {} : { idle: idle * idleUnit }),
+    ...(interval === undefined || wait === undefined ? {} : { limit: { interval, wait } }),
   };
 }
 
--- a/src/sidecar/peer/jsonPeerCodec.ts
+++ b/src/sidecar/peer/jsonPeerCodec.ts
@@ -113,14 +113,18 @@
   queued: number,
   slots: number,
   work: number,
-  idle?: number,
+  idle?: number | null,
+  interval?: number,
+  wait?: number,
 ];
 
 /** Encodes conditions as a header value. */
 function encodeConditions(reports: readonly ConditionReport[]): string {
   const rows = reports.map(({ target, age, condition }): EncodedCondition => {
-    const { sickness, running, queued, slots, work, idle } = condition;
-    return [target, Math.round(age), sickness, running, queued, slots, work, idle];
+    const { sickness, running, queued, slots, work, idle, limit } = condition;
+    const required = [target, Math.round(age), sickness, running, queued, slots, work] as const;
+    if (limit !== undefined) return [...required, idle ?? null, limit.interval, limit.wait];
+    return idle === undefined ? required : [...required, idle];
   });
   return JSON.stringify(rows);
 }
@@ -130,18 +134,21 @@
   if (value === undefined) return [];
   try {
     const rows = JSON.parse(value) as readonly EncodedCondition[];
-    return rows.map(([target, age, sickness, running, queued, slots, work, idle]) => ({
-      target: brandAs<TargetId>(target),
-      age,
-      condition: {
-        sickness,
-        running,
-        queued,
-        slots,
-        work,
-        ...(typeof idle === 'number' ? { idle } : {}),
-      },
-    }));
+    return rows.map(
+      ([target, age, sickness, running, queued, slots, work, idle, interval, wait]) => ({
+        target: brandAs<TargetId>(target),
+        age,
+        condition: {
+          sickness,
+          running,
+          queued,
+          slots,
+          work,
+          ...(typeof idle === 'number' ? { idle } : {}),
+          ...(interval === undefined || wait === undefined ? {} : { limit: { interval, wait } }),
+        },
+      }),
+    );
   } catch {
     // Without new conditions this daemon keeps older ones.
     return [];
--- a/src/sidecar/peer/peerCodecs.test.ts
+++ b/src/sidecar/peer/peerCodecs.test.ts
@@ -29,6 +29,7 @@
     sickness: fc.integer({ min: -80, max: 80 }).map((tenths) => tenths / 10),
     // In tenths of a second; daemons of an earlier build send none.
     idle: count.map((units) => units * 100),
+    limit: fc.record({ interval: count, wait: count }),
   },
   { requiredKeys: ['running', 'queued', 'slots', 'work', 'sickness'] },
 );
--- /dev/null
+++ b/src/sidecar/targetNotice.test.ts
@@ -0,0 +1,31 @@
+import { expect } from 'chai';
+import type { HeaderPair } from '../common/dispatch/Types.js';
+import { readTargetNotice } from './targetNotice.js';
+
+const names = { rateLimit: 'rate-limit' };
+
+describe('readTargetNotice', () => {
+  const limits: readonly {
+    readonly value: string | undefined;
+    readonly rateLimit?: number;
+    readonly invalidLimit?: string;
+  }[] = [
+    { value: undefined },
+    { value: '3', rateLimit: 3 },
+    { value: ' 2.75 ', rateLimit: 2.75 },
+    { value: '0', rateLimit: 0 },
+    { value: '100000000', rateLimit: 100_000_000 },
+    { value: '-1', invalidLimit: '-1' },
+    { value: '1e3', invalidLimit: '1e3' },
+    { value: 'NaN', invalidLimit: 'NaN' },
+    { value: '', invalidLimit: '' },
+    { value: '9'.repeat(400), invalidLimit: '9'.repeat(400) },
+  ];
+  limits.forEach(({ value, rateLimit, invalidLimit }) => {
+    it(`reads the limit ${value?.slice(0, 20) ?? 'of a response without one'}`, () => {
+      const headers: HeaderPair[] = value === undefined ? [] : [['Rate-Limit', value]];
+      const notice = readTargetNotice(headers, names);
+      expect({ ...notice }).to.include({ rateLimit, invalidLimit });
+    });
+  });
+});
--- /dev/null
+++ b/src/sidecar/targetNotice.ts
@@ -0,0 +1,28 @@
+import type { HeaderPair } from '../common/dispatch/Types.js';
+import { findHeader } from '../daemon/Headers.js';
+import type { HeaderNames } from './Types.js';
+
+/** Decimal number without sign or exponent. */
+const ratePattern = /^\d+(\.\d+)?$/;
+
+/** What a target says of itself in the head of a response. */
+export interface TargetNotice {
+  /** Requests per second that it takes from all daemons together; undefined if it names no limit. */
+  readonly rateLimit: number | undefined;
+  /** Limit that cannot be read; the one in force stays. */
+  readonly invalidLimit: string | undefined;
+}
+
+/** Reads the notice of a target from the headers of its response. */
+export function readTargetNotice(
+  headers: readonly HeaderPair[],
+  names: Pick<HeaderNames, 'rateLimit'>,
+): TargetNotice {
+  const text = findHeader(headers, names.rateLimit)?.trim();
+  const rate = text !== undefined && ratePattern.test(text) ? Number(text) : NaN;
+  const isValid = Number.isFinite(rate);
+  return {
+    rateLimit: isValid ? rate : undefined,
+    invalidLimit: isValid ? undefined : text,
+  };
+}
--- a/src/testing/SimulatedFleet.ts
+++ b/src/testing/SimulatedFleet.ts
@@ -29,6 +29,7 @@
 import { TargetFailure } from '../daemon/TargetFailure.js';
 import { Home } from '../sidecar/Home.js';
 import { createRequestMetadata } from '../sidecar/peer/createRequestMetadata.js';
+import type { TargetNotice } from '../sidecar/targetNotice.js';
 import type { HomeRequest, StreamedResponse, TargetConnection } from '../sidecar/Types.js';
 
 /** One-way network delays within a region and between regions. */
@@ -51,6 +52,7 @@
   callerService: 'caller',
   signature: 'signature',
   notRun: 'not-run',
+  rateLimit: 'rate-limit',
 };
 
 /** Class of requests with the same load and limits. */
@@ -88,6 +90,8 @@
   readonly hangs: { readonly share: number; readonly loss: number; readonly period: number };
   /** Retries allowed in a window besides the share of the requests; 60 if missing. */
   readonly retrySlack?: number;
+  /** Rate limits: the share of a service's targets that name one, and the requests per second that they take. */
+  readonly limits?: { readonly service: string; readonly share: number; readonly rate: number };
   /** Duration of the load in seconds. */
   readonly duration: number;
   /** Factor on the request rates at a time in milliseconds. */
@@ -213,7 +217,7 @@
       countTargets: () => services[service] ?? 1,
       mayExclude: (odds) => directory.mayExclude(brandAs<ServiceName>(service), odds),
       checkStart: () => {},
-      connect: () => this.connect(index),
+      connect: (_report, onNotice) => this.connect(index, onNotice),
     });
     const target = brandAs<TargetId>(`t-${index}`);
     home.acceptAnnouncement({
@@ -367,13 +371,31 @@
     other.directory.mergeConditions(one.directory.recentConditions);
   }
 
-  private connect(index: number): TargetConnection {
+  private connect(index: number, onNotice: (notice: TargetNotice) => void): TargetConnection {
     return {
-      send: (request, _body, timeout, signal) => this.runOnTarget(index, request, timeout, signal),
+      send: async (request, _body, timeout, signal) => {
+        const response = await this.runOnTarget(index, request, timeout, signal);
+        onNotice({ rateLimit: this.rateLimitOf(index), invalidLimit: undefined });
+        return response;
+      },
       dispose: () => {},
     };
   }
 
+  /** Requests per second that a target takes; undefined if it names no limit. */
+  public rateLimitOf(index: number): number | undefined {
+    const { limits, services } = this.load;
+    const { service } = this.vms[index] ?? {};
+    if (limits === undefined || service !== limits.service) return undefined;
+    const first = this.vms.findIndex((vm) => vm.service === service);
+    return index - first < limits.share * (services[service] ?? 0) ? limits.rate : undefined;
+  }
+
+  /** Times in milliseconds at which requests started at a target. */
+  public startsAt(index: number): readonly number[] {
+    return this.startTimes.get(index) ?? [];
+  }
+
   private async runOnTarget(
     index: number,
     request: HomeRequest,
--- a/test/pipelining.test.ts
+++ b/test/pipelining.test.ts
@@ -72,6 +72,7 @@
       callerService: 'caller',
       signature: 'signature',
       notRun: 'not-run',
+      rateLimit: 'rate-limit',
     },
     service: 'lots',
     traffic,
