Stop using a target that says in a response that it leaves

Cause: no daemon read the header; only announcements counted.

A home takes such a response for an announcement that the target drains: it refuses what is queued and what comes, and publishes it. It holds for that incarnation, also when the target goes on announcing itself as ready, and ends with the next one. Entries remember what they passed on themselves, since a home that has restarted may list the target as ready again.

Home.test.ts (answers, refusals, announcements that contradict, next incarnation, foreign responses, queued requests) and FleetDirectory.test.ts (a restarted home) fail without it: the target stays ready, the queued request runs and the entry goes on using the target.

--- a/src/common/fleet/FleetDirectory.test.ts
+++ b/src/common/fleet/FleetDirectory.test.ts
@@ -64,6 +64,27 @@
     expect(second.unhealthyProbability(target('t-b'))).to.equal(logistic(priorLogOdds));
   });
 
+  it('does not use a target that said it leaves, although its restarted home lists it again as ready', () => {
+    const { directory } = create(['a', 'b']);
+    const used = (): readonly string[] => directory.candidates(service).map((one) => one.target);
+    directory.markLeaving(target('t-a'), brandAs<Incarnation>('1'));
+    expect(used()).to.deep.equal(['t-b']);
+    const restarted = { incarnation: brandAs<Incarnation>('2') };
+    directory.put(record('a', { ...restarted, targets: [] }));
+    directory.put(record('a', { ...restarted, serial: 2 }));
+    expect(used()).to.deep.equal(['t-b']);
+  });
+
+  it('uses the next incarnation of a target that has left', () => {
+    const { directory } = create(['a']);
+    directory.markLeaving(target('t-a'), brandAs<Incarnation>('1'));
+    const [listed] = record('a').targets;
+    if (listed === undefined) throw new Error('the record lists no target');
+    const next = { ...listed, incarnation: brandAs<Incarnation>('2') };
+    directory.put(record('a', { serial: 2, targets: [next] }));
+    expect(directory.candidates(service)).to.have.length(1);
+  });
+
   it('counts own requests against the reported idle time, so that an entry does not use one target again and again', () => {
     const { clock, directory } = create(['a', 'b']);
     clock.advance(5_000);
--- a/src/common/fleet/FleetDirectory.ts
+++ b/src/common/fleet/FleetDirectory.ts
@@ -1,4 +1,12 @@
-import type { Clock, DaemonId, DataCentre, LogSink, ServiceName, TargetId } from '../base/index.js';
+import type {
+  Clock,
+  DaemonId,
+  DataCentre,
+  Incarnation,
+  LogSink,
+  ServiceName,
+  TargetId,
+} from '../base/index.js';
 import type { Candidate, ConditionReport, TargetCondition } from '../dispatch/Types.js';
 import { decayLogOdds, logistic, priorLogOdds } from '../health/HealthEstimator.js';
 import { recordVersion } from './daemonRecords.js';
@@ -18,6 +26,9 @@
 /** Number of conditions in one message, which are a few hundred bytes. */
 const maxReports = 8;
 
+/** Leaving targets that are remembered; each is gone some seconds after it said so. */
+const maxLeaving = 512;
+
 /** Another daemon of the fleet. */
 interface Peer {
   record: DaemonRecord;
@@ -58,6 +69,9 @@
   /** Observations with the most recent conditions, so that reports need no iteration over the fleet. */
   private readonly recentObservations = new Map<TargetId, TargetObservation>();
 
+  /** Incarnations of targets that said in a response that they leave. */
+  private readonly leaving = new Map<TargetId, Incarnation>();
+
   /** Undefined after a change until it is needed. */
   private index: TargetIndex | undefined;
 
@@ -213,12 +227,30 @@
     if (change > 0) observation.sentAt = this.clock.elapsed();
   }
 
+  /**
+   * Records that an incarnation of a target leaves, whatever its home lists: a home that has restarted may not know it.
+   */
+  public markLeaving(target: TargetId, incarnation: Incarnation): void {
+    if (this.leaving.get(target) === incarnation) return;
+    this.leaving.delete(target);
+    this.leaving.set(target, incarnation);
+    const [oldest] = this.leaving.keys();
+    if (this.leaving.size > maxLeaving && oldest !== undefined) this.leaving.delete(oldest);
+    this.log.write({
+      level: 'info',
+      kind: 'membership',
+      message: 'target leaves and gets no more requests',
+      fields: { step: 'fleet', target, incarnation },
+    });
+  }
+
   /** Targets of a service that may be used now. */
   public candidates(service: ServiceName): Candidate[] {
     const now = this.clock.elapsed();
     const candidates: Candidate[] = [];
     this.targetsOf(service).forEach(({ peer: { record, backoffUntil }, target }) => {
       if (record.state === 'leaving' || backoffUntil > now || target.state !== 'ready') return;
+      if (this.leaving.get(target.id) === target.incarnation) return;
       candidates.push(this.createCandidate(record, target, now));
     });
     return candidates;
--- a/src/common/fleet/TargetRegistry.ts
+++ b/src/common/fleet/TargetRegistry.ts
@@ -61,6 +61,20 @@
     return known.report;
   }
 
+  /**
+   * Marks an incarnation as draining, whatever it announces later; undefined if another one is known or it drains already.
+   */
+  public drain(id: TargetId, startedAt: number): TargetReport | undefined {
+    const known = this.entries.get(id);
+    if (known === undefined || known.hasEnded || known.report.startedAt !== startedAt) {
+      return undefined;
+    }
+    if (known.report.state === 'draining') return undefined;
+    const report: TargetReport = { ...known.report, state: 'draining' };
+    this.entries.set(id, { report, hasEnded: false });
+    return report;
+  }
+
   private update(known: RegisteredTarget, report: TargetReport): ReportEffect {
     // Within one incarnation, a target cannot return after it has ended or started to drain.
     if (known.hasEnded) return { type: 'stale' };
--- a/src/sidecar/CallerServer.test.ts
+++ b/src/sidecar/CallerServer.test.ts
@@ -19,6 +19,7 @@
   signature: 'signature',
   notRun: 'not-run',
   rateLimit: 'rate-limit',
+  leaving: 'leaving',
 };
 
 /** Server for callers whose dispatcher answers as the test says. */
--- a/src/sidecar/Home.test.ts
+++ b/src/sidecar/Home.test.ts
@@ -24,6 +24,7 @@
   signature: 'signature',
   notRun: 'not-run',
   rateLimit: 'rate-limit',
+  leaving: 'leaving',
 };
 const { signal } = new AbortController();
 
@@ -405,6 +406,67 @@
     });
   });
 
+  const leavingCases: readonly {
+    readonly name: string;
+    readonly respond: (request: RawRequest) => string;
+    readonly prepare?: (one: Home, at: string) => void;
+    readonly result: string;
+  }[] = [
+    {
+      name: 'sends nothing more to a target that says in an answer that it leaves',
+      respond: (request) => answer(request, 'leaving: 1\r\ncontent-length: 0\r\n', ''),
+      result: 'not run: draining',
+    },
+    {
+      name: 'sends nothing more to a target that says in a refusal that it leaves',
+      respond: (request) =>
+        refusal(request.header(names.requestId)).replace('not-run', 'leaving: 1\r\nnot-run'),
+      result: 'not run: draining',
+    },
+    {
+      name: 'sends nothing more to a leaving target that goes on announcing itself as ready',
+      respond: (request) => answer(request, 'leaving: 1\r\ncontent-length: 0\r\n', ''),
+      prepare: (one, at) => one.acceptAnnouncement(report(at, { sequence: 2 })),
+      result: 'not run: draining',
+    },
+    {
+      name: 'uses the next incarnation of a target that said it leaves',
+      respond: (request) => answer(request, 'leaving: 1\r\ncontent-length: 0\r\n', ''),
+      prepare: (one, at) => one.acceptAnnouncement(report(at, { startedAt: 2_000 })),
+      result: '200 good',
+    },
+    {
+      name: 'takes no extra response to another request for one of a leaving target',
+      respond: () => refusal('r-0').replace('not-run', 'leaving: 1\r\nnot-run'),
+      result: '200 good',
+    },
+  ];
+  leavingCases.forEach(({ name, respond, prepare, result }) => {
+    it(name, async () => {
+      mayExclude = false;
+      const { handler } = target;
+      target.handler = (socket, request) => socket.write(respond(request));
+      await run(home);
+      target.handler = handler;
+      prepare?.(home, address);
+      const [listed] = home.publishedTargets;
+      expect(listed?.state).to.equal(result === '200 good' ? 'ready' : 'draining');
+      expect(await run(home, { incarnation: listed?.incarnation ?? '' })).to.equal(result);
+    });
+  });
+
+  it('refuses the requests that are queued when the target says that it leaves', async () => {
+    target.handler = (socket, request) => {
+      afterDelay(() => {
+        socket.write(answer(request, 'leaving: 1\r\ncontent-length: 0\r\n', ''));
+      });
+    };
+    const results = await Promise.all(
+      [1, 2, 3].map(() => run(home, { maxQueueWait: 1_000, isForced: true })),
+    );
+    expect(results).to.deep.equal(['200 ', '200 ', 'not run: draining']);
+  });
+
   it('sends no more requests than a target says it takes', async () => {
     target.handler = (socket, request) => {
       socket.write(answer(request, 'rate-limit: 0.5\r\ncontent-length: 0\r\n', ''));
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -182,7 +182,7 @@
     }
     const effect = this.registry.record(report);
     if (effect.type === 'stale') {
-      this.write('info', 'ignored an out-of-order announcement', {
+      this.write('info', 'ignored an announcement that is out of order or by a leaving target', {
         target: report.id,
         sequence: report.sequence,
         startedAt: report.startedAt,
@@ -301,6 +301,7 @@
 
   /** Applies what a target said of itself in a response. */
   private applyNotice(hosted: HostedTarget, notice: TargetNotice): void {
+    if (notice.isLeaving) this.drainLeaving(hosted);
     const { rateLimit, invalidLimit } = notice;
     if (invalidLimit === undefined) {
       if (rateLimit !== hosted.rateLimit) this.limitRate(hosted, rateLimit);
@@ -322,6 +323,17 @@
     hosted.queue.limitRate(rateLimit);
   }
 
+  /** A target may leave without an announcement, or before it. */
+  private drainLeaving(hosted: HostedTarget): void {
+    const { id, startedAt } = hosted.report;
+    const report = this.registry.drain(id, startedAt);
+    if (report === undefined || this.hosted.get(id) !== hosted) return;
+    this.write('info', 'target says in a response that it leaves', { target: id, startedAt });
+    hosted.report = report;
+    hosted.queue.evict('draining', () => true);
+    this.changeEmitter.fire();
+  }
+
   private async admit(
     request: HomeRequest,
     receiveBody: BodyProvider,
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -46,6 +46,7 @@
 import type { SidecarSettings } from './Settings.js';
 import { SidecarMetrics } from './SidecarMetrics.js';
 import { createStopSchedule } from './stopSchedule.js';
+import { isFromLeavingTarget } from './targetNotice.js';
 import { TrafficState } from './TrafficState.js';
 import type { HeaderNames } from './Types.js';
 
@@ -499,13 +500,18 @@
     return this.directory.recentConditions;
   }
 
-  private send(
+  private async send(
     candidate: Candidate,
     attempt: AttemptRequest,
     signal: AbortSignal,
   ): Promise<TargetAnswer> {
-    if (candidate.daemon !== this.settings.id) return this.peers.send(candidate, attempt, signal);
-    return this.runLocally(candidate, attempt, signal);
+    const answer = await (candidate.daemon === this.settings.id
+      ? this.runLocally(candidate, attempt, signal)
+      : this.peers.send(candidate, attempt, signal));
+    if (isFromLeavingTarget(answer.headers, this.environment.names)) {
+      this.directory.markLeaving(candidate.target, candidate.incarnation);
+    }
+    return answer;
   }
 
   private async runLocally(
--- a/src/sidecar/Types.ts
+++ b/src/sidecar/Types.ts
@@ -19,6 +19,8 @@
   readonly notRun: string;
   /** Requests per second that the target takes from all daemons together. */
   readonly rateLimit: string;
+  /** `1` if the target leaves and must get no new requests. */
+  readonly leaving: string;
 }
 
 /** Metadata of a request that an entry forwards to a home, sent in one header. */
--- a/src/sidecar/endlessResponses.test.ts
+++ b/src/sidecar/endlessResponses.test.ts
@@ -34,6 +34,7 @@
   signature: 'signature',
   notRun: 'not-run',
   rateLimit: 'rate-limit',
+  leaving: 'leaving',
 };
 const target = brandAs<TargetId>('t-1');
 const daemon = brandAs<DaemonId>('d-1');
--- a/src/testing/SimulatedFleet.ts
+++ b/src/testing/SimulatedFleet.ts
@@ -53,6 +53,7 @@
   signature: 'signature',
   notRun: 'not-run',
   rateLimit: 'rate-limit',
+  leaving: 'leaving',
 };
 
 /** Class of requests with the same load and limits. */
@@ -375,7 +376,7 @@
     return {
       send: async (request, _body, timeout, signal) => {
         const response = await this.runOnTarget(index, request, timeout, signal);
-        onNotice({ rateLimit: this.rateLimitOf(index), invalidLimit: undefined });
+        onNotice({ rateLimit: this.rateLimitOf(index), invalidLimit: undefined, isLeaving: false });
         return response;
       },
       dispose: () => {},
--- a/test/pipelining.test.ts
+++ b/test/pipelining.test.ts
@@ -73,6 +73,7 @@
       signature: 'signature',
       notRun: 'not-run',
       rateLimit: 'rate-limit',
+      leaving: 'leaving',
     },
     service: 'lots',
     traffic,
