Accept records and announcements only with valid fields

Operators of other systems saw machines end, or stop following the list, after another writer had left one odd entry. Here a record was taken with a port of 99999, none or 0, slots of 1e308 or -3, a serial of 1e300, an unknown state, or the name of another daemon, which it then replaced: a serial of 1e300 barred each later record of that incarnation. It was kept with all its fields, so that passing one on that nests 100,000 deep exceeded the stack.

The known fields are copied after a check of type and range, and the key, or the daemon that sent the record, must be that of the record.

--- a/src/common/fleet/daemonRecords.ts
+++ b/src/common/fleet/daemonRecords.ts
@@ -1,5 +1,12 @@
+import { brandAs, type DaemonId } from '../base/index.js';
+import { isHostAndPort } from './isHostAndPort.js';
 import type { DaemonRecord, PublishedTarget } from './Types.js';
 
+/** Characters of an id or a name; longer ones would not fit the headers between daemons. */
+export const maxNameLength = 256;
+/** Slots of a target. */
+export const maxSlots = 100_000;
+
 /** Version of a record; daemons compare it to detect an outdated copy. */
 export function recordVersion({ incarnation, serial }: DaemonRecord): string {
   return `${incarnation}/${serial}`;
@@ -10,29 +17,47 @@
   return JSON.stringify(record);
 }
 
-function isTarget(value: unknown): value is PublishedTarget {
-  const target = value as Partial<PublishedTarget> | null;
-  return (
-    typeof target?.id === 'string' &&
-    typeof target.incarnation === 'string' &&
-    typeof target.service === 'string' &&
-    Number.isInteger(target.slots) &&
-    (target.state === 'ready' || target.state === 'draining')
-  );
+function isName(value: unknown): value is string {
+  return typeof value === 'string' && value !== '' && value.length <= maxNameLength;
+}
+
+function isCount(value: unknown, min: number, max = Number.MAX_SAFE_INTEGER): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= min && (value as number) <= max;
+}
+
+/** Copies the known fields of a target; undefined if one is missing or invalid. */
+function readTarget(value: unknown): PublishedTarget | undefined {
+  const { id, incarnation, service, slots, state } = (value ?? {}) as Partial<PublishedTarget>;
+  if (!isName(id) || !isName(incarnation) || !isName(service)) return undefined;
+  if (!isCount(slots, 1, maxSlots) || (state !== 'ready' && state !== 'draining')) return undefined;
+  return { id, incarnation, service, slots, state };
+}
+
+/** Copies the known fields of a record; undefined if one is missing or invalid. */
+function readRecord(value: unknown): DaemonRecord | undefined {
+  const record = (value ?? {}) as Partial<DaemonRecord>;
+  const { daemon, incarnation, serial, address, region, dataCentre, state, encoding } = record;
+  if (!isName(daemon) || !isName(incarnation) || !isName(region) || !isName(dataCentre)) {
+    return undefined;
+  }
+  if (!isName(address) || !isHostAndPort(address) || !isCount(serial, 0)) return undefined;
+  if (state !== 'serving' && state !== 'leaving') return undefined;
+  if (encoding !== undefined && !isCount(encoding, 1)) return undefined;
+  if (!Array.isArray(record.targets)) return undefined;
+  const targets = record.targets.map(readTarget);
+  if (!targets.every((target) => target !== undefined)) return undefined;
+  const common = { daemon, incarnation, serial, address, region, dataCentre, state };
+  return { ...common, ...(encoding === undefined ? {} : { encoding }), targets };
 }
 
-/** Decodes a record; undefined if the text is not a valid one. */
-export function decodeRecord(text: string): DaemonRecord | undefined {
+/**
+ * Decodes the record of a daemon; undefined if the text is not a valid one or is that of another daemon. Unknown fields
+ * are dropped, so that what another writer has put into them is not passed on.
+ */
+export function decodeRecord(text: string, daemon: string): DaemonRecord | undefined {
   try {
-    const value = JSON.parse(text) as Partial<DaemonRecord> | null;
-    const names = [value?.daemon, value?.incarnation, value?.address, value?.region];
-    const isComplete =
-      names.every((name) => typeof name === 'string') &&
-      typeof value?.dataCentre === 'string' &&
-      Number.isInteger(value.serial) &&
-      Array.isArray(value.targets) &&
-      value.targets.every(isTarget);
-    return isComplete ? (value as DaemonRecord) : undefined;
+    const record = readRecord(JSON.parse(text));
+    return record?.daemon === brandAs<DaemonId>(daemon) ? record : undefined;
   } catch {
     // The caller logs an invalid record.
     return undefined;
--- a/src/sidecar/PeerHttpClient.ts
+++ b/src/sidecar/PeerHttpClient.ts
@@ -253,7 +253,7 @@
     const { version, conditions, condition, failure } = state;
     this.settings.onVersion(version);
     this.settings.onConditions(conditions ?? []);
-    const record = decodeRecord(state.record ?? '');
+    const record = decodeRecord(state.record ?? '', candidate.daemon);
     if (record !== undefined) this.settings.onRecord(record);
     if (failure !== undefined) throw this.endFailed(exchange, response, { failure, condition });
     let transferred: number | undefined;
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -437,7 +437,10 @@
   }
 
   private readRecord(entry: StoreEntry): DaemonRecord | undefined {
-    const record = decodeRecord(new TextDecoder().decode(entry.value));
+    const record = decodeRecord(
+      new TextDecoder().decode(entry.value),
+      entry.key.slice(daemonPrefix.length),
+    );
     if (record === undefined) {
       this.environment.log.write({
         level: 'warn',
