Ignore invalid quarantine records of other writers

Operators of other systems saw machines stop following the list after another writer had left one odd entry. Here a quarantine record that is no JSON, null or without crashes threw in the listener of the fleet's changes: the entries after it were not applied, the daemon logged that the store was unavailable, and each later read of all records failed. One with a time far ahead never expired.

A record is checked when it is read, and an invalid one is logged, ignored, and replaced when this daemon records a crash under its key.

--- a/src/common/operations/Quarantine.test.ts
+++ b/src/common/operations/Quarantine.test.ts
@@ -30,6 +30,13 @@
     return quarantine;
   }
 
+  /** Writes a record as another client of the store does. */
+  public async put(key: string, text: string): Promise<void> {
+    const client = new FakeStoreClient(this.store, this.clock, noFaults(), () => 0.5);
+    const value = new TextEncoder().encode(text);
+    await this.wait(client.transact([], [{ type: 'put', key, value }]));
+  }
+
   public async wait<Value>(promise: Promise<Value>): Promise<Value> {
     await this.clock.advanceAsync(5000);
     return promise;
@@ -133,6 +140,31 @@
     expect(later.list().map(({ fingerprint }) => fingerprint)).to.deep.equal([crashingRequest]);
   });
 
+  const odd = [
+    { name: 'no JSON', text: '{' },
+    { name: 'null', text: 'null' },
+    { name: 'crashes of another type', text: '{"crashes":5,"crashedAt":1}' },
+    { name: 'a crash of another type', text: '{"crashes":[{}],"crashedAt":1}' },
+    { name: 'a time that never ends', text: '{"crashes":["a","b","c"],"crashedAt":1e300}' },
+    { name: 'no time', text: '{"crashes":["a","b","c"]}' },
+    { name: 'deep nesting', text: `${'['.repeat(9_000)}${']'.repeat(9_000)}` },
+  ];
+  odd.forEach(({ name, text }) => {
+    it(`follows the other records when another writer leaves one with ${name}`, async () => {
+      const bed = new TestBed();
+      const [here, there] = [await bed.open(), await bed.open()];
+      await bed.put('quarantine/another', text);
+      await bed.put(`quarantine/${crashingRequest}`, text);
+      await bed.wait(here.reportCrash(crash('t1', [crashingRequest])));
+      await bed.wait(here.reportCrash(crash('t2', [crashingRequest])));
+      const later = await bed.open();
+      [here, there, later].forEach((one) => {
+        expect(one.statusOf(crashingRequest)).to.equal('quarantined');
+        expect(one.statusOf(brandAs<Fingerprint>('another'))).to.equal('clear');
+      });
+    });
+  });
+
   it('keeps suspects on separate targets, so that a second crash by one does not quarantine the other', async () => {
     const bed = new TestBed();
     const quarantine = await bed.open();
--- a/src/common/operations/Quarantine.ts
+++ b/src/common/operations/Quarantine.ts
@@ -25,6 +25,11 @@
 /** Maximum number of fingerprints in memory; beyond it the oldest suspect is dropped. */
 const maxEntries = 10_000;
 
+/** Crashes in one record, far more than are needed to refuse its request. */
+const maxCrashes = 1_000;
+/** Milliseconds by which the clock of another daemon may be ahead. */
+const maxClockSkew = 60_000;
+
 /** Crash of a target with requests in flight. */
 export interface TargetCrash {
   readonly target: TargetId;
@@ -41,6 +46,23 @@
   readonly crashedAt: number;
 }
 
+/** Decodes the content of a record whose last crash was before `latest`; undefined if it is invalid. */
+function readRecord(
+  text: string,
+  latest: number,
+): Pick<QuarantineEntry, 'crashes' | 'crashedAt'> | undefined {
+  try {
+    const { crashes, crashedAt } = (JSON.parse(text) ?? {}) as Readonly<Record<string, unknown>>;
+    if (!Array.isArray(crashes) || crashes.length > maxCrashes) return undefined;
+    if (!crashes.every((crash): crash is string => typeof crash === 'string')) return undefined;
+    if (typeof crashedAt !== 'number' || !(crashedAt >= 0 && crashedAt <= latest)) return undefined;
+    return { crashes, crashedAt };
+  } catch {
+    // The caller logs an invalid record.
+    return undefined;
+  }
+}
+
 /** Quarantine status of a fingerprint. */
 export type QuarantineStatus = 'clear' | 'suspect' | 'quarantined';
 
@@ -81,11 +103,11 @@
     const watch = store.watch(this.prefix);
     this.watch = watch;
     watch.onChange(({ type, entry }) => {
-      if (type === 'put') this.merge(this.parse(entry));
+      if (type === 'put') this.mergeRecord(entry);
       else this.entries.delete(brandAs<Fingerprint>(entry.key.slice(this.prefix.length)));
     });
     const entries = await store.range({ prefix: this.prefix });
-    entries.forEach((entry) => this.merge(this.parse(entry)));
+    entries.forEach((entry) => this.mergeRecord(entry));
   }
 
   public statusOf(fingerprint: Fingerprint): QuarantineStatus {
@@ -128,7 +150,7 @@
       await this.context.store.transact([], [{ type: 'delete', key: this.keyOf(fingerprint) }]);
       return true;
     } catch (error) {
-      this.warn(fingerprint, error);
+      this.warn('cannot write a quarantine record', fingerprint, error);
       return false;
     }
   }
@@ -142,10 +164,13 @@
     return `${this.prefix}${fingerprint}`;
   }
 
-  private parse(entry: StoreEntry): QuarantineEntry {
-    const text = new TextDecoder().decode(entry.value);
-    const value = JSON.parse(text) as { crashes: string[]; crashedAt: number };
-    return { fingerprint: brandAs<Fingerprint>(entry.key.slice(this.prefix.length)), ...value };
+  /** Merges a record of the store; one that another writer left there and that is invalid is logged and ignored. */
+  private mergeRecord(entry: StoreEntry): void {
+    const now = this.context.clock.now().getTime();
+    const fingerprint = brandAs<Fingerprint>(entry.key.slice(this.prefix.length));
+    const content = readRecord(new TextDecoder().decode(entry.value), now + maxClockSkew);
+    if (content !== undefined) this.merge({ fingerprint, ...content });
+    else this.warn('ignored an invalid quarantine record', fingerprint);
   }
 
   private find(fingerprint: Fingerprint): QuarantineEntry | undefined {
@@ -183,7 +208,7 @@
     try {
       while (!this.isDisposed && !(await this.trySave(entry.fingerprint)));
     } catch (error) {
-      this.warn(entry.fingerprint, error);
+      this.warn('cannot write a quarantine record', entry.fingerprint, error);
     }
   }
 
@@ -191,7 +216,7 @@
     const { store } = this.context;
     const key = this.keyOf(fingerprint);
     const present = await store.get(key);
-    if (present !== undefined) this.merge(this.parse(present));
+    if (present !== undefined) this.mergeRecord(present);
     const entry = this.find(fingerprint);
     // The fingerprint was cleared meanwhile.
     if (entry === undefined) return true;
@@ -201,12 +226,16 @@
     return (await store.transact([compare], [{ type: 'put', key, value }])).applied;
   }
 
-  private warn(fingerprint: Fingerprint, error: unknown): void {
+  private warn(message: string, fingerprint: Fingerprint, error?: unknown): void {
     this.context.log.write({
       level: 'warn',
       kind: 'operation',
-      message: 'cannot write a quarantine record',
-      fields: { fingerprint, error: String(error), step: 'quarantine.save' },
+      message,
+      fields: {
+        fingerprint,
+        error: error === undefined ? undefined : String(error),
+        step: 'quarantine',
+      },
     });
   }
 }
