Report a request as not run if it cannot be sent to a home at all

A record with a port out of range made http.request throw. The dispatcher took the error for an unknown outcome: the caller of a bid got 502, which promises nothing, although nothing had been sent, and the daemon stayed in use. It is a refusal now, so another target is asked, and the daemon counts as unreachable. Both cases of PeerHttpClient.test.ts fail on the code before with the bare RangeError and TypeError.

--- a/src/sidecar/PeerHttpClient.test.ts
+++ b/src/sidecar/PeerHttpClient.test.ts
@@ -298,6 +298,25 @@
       error: HomeRefusalError,
     },
   ];
+  const unsendable = [
+    { name: 'its port is out of range', port: 99_999, sentPath: path, isUnreachable: true },
+    { name: 'its path cannot be sent', port: 9, sentPath: '/a b', isUnreachable: false },
+  ];
+  unsendable.forEach(({ name, port, sentPath, isUnreachable }) => {
+    it(`knows that a bid was not run if ${name}`, async () => {
+      const client = createClient([], []);
+      const candidate = createCandidate(port, newestPeerEncoding, recordVersion(record));
+      const attempt = createAttempt(false);
+      const { signal } = new AbortController();
+      const failure: unknown = await client
+        .send(candidate, { ...attempt, call: { ...attempt.call, path: sentPath } }, signal)
+        .catch((reason: unknown) => reason);
+      client.dispose();
+      expect(failure).to.be.instanceOf(HomeRefusalError);
+      expect((failure as HomeRefusalError).details.isUnreachable).to.equal(isUnreachable);
+    });
+  });
+
   foreign.forEach(({ name, isIdempotent, response, error }) => {
     it(`knows that ${name}`, async () => {
       const server = new RawTarget((socket) => socket.write(response));
--- a/src/sidecar/PeerHttpClient.ts
+++ b/src/sidecar/PeerHttpClient.ts
@@ -99,7 +99,7 @@
     signal: AbortSignal,
   ): Promise<TargetAnswer> {
     return new Promise((resolve, reject) => {
-      const exchange = this.openRequest(candidate, attempt);
+      const exchange = this.tryOpenRequest(candidate, attempt);
       const { request } = exchange;
       const processingTimer = this.startProcessingTimer(exchange);
       const cancel = (): void => {
@@ -140,6 +140,19 @@
     this.agent.destroy();
   }
 
+  /** Throws `HomeRefusalError` if nothing can be sent to the address or with the request's path and headers. */
+  private tryOpenRequest(candidate: Candidate, attempt: AttemptRequest): Exchange {
+    try {
+      return this.openRequest(candidate, attempt);
+    } catch (cause) {
+      const origin = { step: 'peer.send', peer: candidate.daemon, cause };
+      const hasBadPort = (cause as NodeJS.ErrnoException).code === 'ERR_SOCKET_BAD_PORT';
+      throw new HomeRefusalError('connect-failed', 'the request could not be sent', origin, {
+        isUnreachable: hasBadPort,
+      });
+    }
+  }
+
   private openRequest(candidate: Candidate, attempt: AttemptRequest): Exchange {
     const { call } = attempt;
     const [host = '', port = ''] = candidate.address.split(/:(?=\d+$)/);
