Bound the delay of a timer by what the platform can wait

A delay over 2^31 - 1 ms, as an odd duration in a configuration gives, fires at once: each request of such a route would end at its timeout immediately.

--- a/src/node/SystemClock.ts
+++ b/src/node/SystemClock.ts
@@ -1,5 +1,8 @@
 import type { Clock, Disposable } from '../api/index.js';
 
+/** Milliseconds of the longest timer; a longer one would fire at once. */
+const maxDelay = 2 ** 31 - 1;
+
 /** Clock based on the system time and timers. */
 export class SystemClock implements Clock {
   public now(): Date {
@@ -11,7 +14,7 @@
   }
 
   public after(delay: number, callback: () => void): Disposable {
-    const timer = setTimeout(callback, delay);
+    const timer = setTimeout(callback, Math.min(delay, maxDelay));
     return { dispose: () => clearTimeout(timer) };
   }
 }
