Refuse requests that become whole late in the grace period of a stop

Operators of other systems saw requests that came late in the grace period taken, passed on, and cut at its end without an answer, bids among them. Here a request is refused once the daemon has stopped accepting, but only by the time of its head: one whose body ended later, or that had waited behind others on its connection, was still passed on, until the end of the grace period.

It is refused as not run after its body has been read. Both new cases of CallerServer.test.ts time out on the code before, which dispatches the request.

--- a/src/sidecar/CallerServer.test.ts
+++ b/src/sidecar/CallerServer.test.ts
@@ -127,6 +127,43 @@
     fixture.server.dispose();
   });
 
+  const late: readonly {
+    readonly name: string;
+    readonly before: string;
+    readonly after: string;
+  }[] = [
+    {
+      name: 'whose body ends',
+      before: `POST /lots/1 HTTP/1.1\r\nhost: ${host}\r\nid: r-1\r\ncontent-length: 4\r\n\r\nlo`,
+      after: 'ts',
+    },
+    {
+      name: 'in chunks whose last one comes',
+      before: `POST /lots/1 HTTP/1.1\r\nhost: ${host}\r\nid: r-1\r\ntransfer-encoding: chunked\r\n\r\n4\r\nlots\r\n`,
+      after: '0\r\n\r\n',
+    },
+  ];
+  late.forEach(({ name, before, after }) => {
+    it(`refuses a request ${name} after the server stopped accepting, so that it is not passed on and then cut`, async () => {
+      let dispatched = 0;
+      const fixture = new Fixture(() => {
+        dispatched += 1;
+        return new Promise(() => {});
+      });
+      const socket = connect(await fixture.listen(), '127.0.0.1');
+      await once(socket, 'connect');
+      socket.write(before);
+      // A response shows that the server has read what was sent before it.
+      await fixture.send('none', false, '/none/');
+      fixture.server.drain();
+      const received = text(socket);
+      socket.write(after);
+      expect(await received).to.match(/^HTTP\/1.1 503 [^]*connection: close[^]*draining/i);
+      expect(dispatched).to.equal(0);
+      fixture.server.dispose();
+    });
+  });
+
   it('closes the connection after a response that was pending at the stop, so that no next request crosses the close', async () => {
     let respond = (): void => {};
     const fixture = new Fixture(
--- a/src/sidecar/CallerServer.ts
+++ b/src/sidecar/CallerServer.ts
@@ -184,9 +184,7 @@
 
   private findRoute({ host, path }: CheckedRequest): TrafficRoute {
     const { traffic } = this.settings;
-    if (this.isDraining) {
-      throw new NotRunError('draining', 'this daemon is stopping', { step: 'entry.drain' });
-    }
+    this.checkAccepting();
     if (!traffic.isKnown) {
       throw new NotRunError('store-away', 'no configuration is known yet', { step: 'entry.route' });
     }
@@ -197,6 +195,13 @@
     return route;
   }
 
+  /** Throws `NotRunError` once the rest of the grace period is left for the requests that were passed on before. */
+  private checkAccepting(): void {
+    if (this.isDraining) {
+      throw new NotRunError('draining', 'this daemon is stopping', { step: 'entry.drain' });
+    }
+  }
+
   private async serve(
     { id, request, started, pipelined }: OpenRequest,
     response: ServerResponse,
@@ -209,6 +214,8 @@
     const { names, traffic, dispatcher, clock } = this.settings;
     const body =
       parsed.length === 0 ? Buffer.alloc(0) : await readBody(request, traffic.limits.maxBodyBytes);
+    // The body, or the requests before this one on its connection, may have taken until late in the grace period.
+    this.checkAccepting();
     const waited = clock.elapsed() - started;
     const requestedTimeout = Number(
       findHeader(parsed.pairs, names.timeout) ?? parsed.route.timeout,
