Let a restarted home take over the rate limit that other daemons know

A home that has restarted did not know the limit of its target until the first answer, and could start as many requests as the target has slots, from entries that had been told of the limit. An entry now sends what it knows of a limited target along with a request to its home, which takes the limit over until the target has responded once.

Home.test.ts: two requests after a restart both ran before; the second one is refused now. A limit that is old, invalid or already lifted is not taken over.

--- a/src/sidecar/Home.test.ts
+++ b/src/sidecar/Home.test.ts
@@ -8,6 +8,7 @@
   type ServiceName,
   type TargetId,
 } from '../api/index.js';
+import type { ConditionReport } from '../common/dispatch/Types.js';
 import type { TargetReport } from '../common/fleet/Types.js';
 import { SystemClock } from '../node/SystemClock.js';
 import { MemoryLog } from '../testing/MemoryLog.js';
@@ -476,6 +477,44 @@
     expect(target.requests).to.have.length(2);
   });
 
+  const limitedReport = (interval: number, age: number): ConditionReport => ({
+    target: brandAs<TargetId>('t-1'),
+    age,
+    condition: {
+      running: 0,
+      queued: 0,
+      slots: 2,
+      work: 100,
+      sickness: -2,
+      limit: { interval, wait: 0 },
+    },
+  });
+  const adopted = [
+    { name: 'takes over', reports: [limitedReport(2_000, 100)], result: 'not run: queue-full' },
+    {
+      name: 'does not take over an old',
+      reports: [limitedReport(2_000, 60_000)],
+      result: '200 good',
+    },
+    { name: 'does not take over an invalid', reports: [limitedReport(0, 0)], result: '200 good' },
+  ];
+  adopted.forEach(({ name, reports, result }) => {
+    it(`${name} rate limit that another daemon knows, after its own restart`, async () => {
+      target.handler = (socket, request) => {
+        afterDelay(() => socket.write(answer(request, 'content-length: 4\r\n', 'good')));
+      };
+      home.adoptLimits(reports);
+      const results = await Promise.all([run(home), run(home)]);
+      expect(results).to.deep.equal(['200 good', result]);
+    });
+  });
+
+  it('does not take over a rate limit that its target has lifted', async () => {
+    await run(home);
+    home.adoptLimits([limitedReport(2_000, 100)]);
+    expect(home.rateLimit).to.equal(undefined);
+  });
+
   it('lifts a rate limit with the next answer that names none', async () => {
     target.handler = (socket, request) => {
       socket.write(answer(request, 'rate-limit: 0.5\r\ncontent-length: 0\r\n', ''));
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -12,7 +12,11 @@
 } from '../api/index.js';
 import { SlotQueue, type SlotPermit, type SlotRefusal } from '../common/admission/SlotQueue.js';
 import { RouteStatistics } from '../common/dispatch/RouteStatistics.js';
-import { HomeRefusalError, type TargetCondition } from '../common/dispatch/Types.js';
+import {
+  HomeRefusalError,
+  type ConditionReport,
+  type TargetCondition,
+} from '../common/dispatch/Types.js';
 import { TargetRegistry, targetIncarnation } from '../common/fleet/TargetRegistry.js';
 import type { PublishedTarget, TargetReport } from '../common/fleet/Types.js';
 import { logit, HealthEstimator, type RunningRequest } from '../common/health/HealthEstimator.js';
@@ -44,6 +48,9 @@
 /** Milliseconds between checks for idle targets. */
 const usageCheckInterval = 500;
 const firstServerError = 500;
+const millisecondsPerSecond = 1_000;
+/** Age in milliseconds of a reported rate limit above which the target may have lifted it. */
+const maxAdoptedAge = 10_000;
 /** Characters of an invalid header value in a log line. */
 const maxLoggedLength = 40;
 
@@ -65,6 +72,8 @@
   downUntil: number;
   /** Requests per second that it takes, as it named them last; undefined without a limit. */
   rateLimit: number | undefined;
+  /** Whether the target has responded to this daemon, which then knows its rate limit. */
+  hasResponded: boolean;
 }
 
 /** A request that was sent to a target. */
@@ -208,6 +217,19 @@
     this.changeEmitter.fire();
   }
 
+  /**
+   * Takes over the rate limits that other daemons report of targets which have not yet responded to this daemon since it
+   * started.
+   */
+  public adoptLimits(reports: readonly ConditionReport[]): void {
+    reports.forEach(({ target, condition: { limit }, age }) => {
+      const hosted = this.hosted.get(target);
+      if (hosted === undefined || hosted.hasResponded || limit === undefined) return;
+      if (hosted.rateLimit !== undefined || limit.interval <= 0 || age > maxAdoptedAge) return;
+      this.limitRate(hosted, millisecondsPerSecond / limit.interval);
+    });
+  }
+
   /** Refuses new and queued requests; running requests are completed. */
   public drain(): void {
     this.isDraining = true;
@@ -289,6 +311,7 @@
       usage: new TargetUsage(clock),
       downUntil: 0,
       rateLimit: undefined,
+      hasResponded: false,
       dispose: () => {
         notices.dispose();
         queue.dispose();
@@ -301,6 +324,7 @@
 
   /** Applies what a target said of itself in a response. */
   private applyNotice(hosted: HostedTarget, notice: TargetNotice): void {
+    hosted.hasResponded = true;
     if (notice.isLeaving) this.drainLeaving(hosted);
     const { rateLimit, invalidLimit } = notice;
     if (invalidLimit === undefined) {
--- a/src/sidecar/PeerHttpClient.ts
+++ b/src/sidecar/PeerHttpClient.ts
@@ -50,6 +50,11 @@
   return bytesRead + bytesWritten;
 }
 
+/** What is known of a target with a rate limit, for its home, which may have restarted. */
+function limitReport({ target, condition, age }: Candidate): readonly ConditionReport[] {
+  return condition?.limit === undefined ? [] : [{ target, condition, age }];
+}
+
 /** Dependencies of `PeerHttpClient`. */
 export interface PeerHttpClientSettings {
   readonly id: DaemonId;
@@ -202,7 +207,10 @@
     const metadata = createRequestMetadata(candidate, attempt, id);
     const recordVersion = codec.encodeRecordVersion(candidate.recordVersion);
     const isSameDataCentre = candidate.dataCentre === dataCentre;
-    const known = candidate.region === region ? this.settings.conditions() : undefined;
+    const known =
+      candidate.region === region
+        ? [...limitReport(candidate), ...this.settings.conditions()]
+        : undefined;
     return codec.encodeRequest({
       metadata: { ...metadata, recordVersion },
       isSameDataCentre,
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -190,8 +190,10 @@
       }),
     );
     const onVersion = (version: number): void => this.refreshIfOlder(version);
-    const onConditions = (reports: readonly ConditionReport[]): void =>
+    const onConditions = (reports: readonly ConditionReport[]): void => {
+      this.home.adoptLimits(reports);
       this.directory.mergeConditions(reports);
+    };
     const conditions = (): readonly ConditionReport[] => this.collectConditions();
     const codecs = new PeerCodecs(names.requestId);
     this.peers = this.disposables.add(
