--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -10,7 +10,7 @@
   type RefusalReason,
   type TargetId,
 } from '../api/index.js';
-import { SlotQueue, type SlotPermit, type SlotRefusal } from '../common/admission/SlotQueue.js';
+import type { SlotPermit, SlotRefusal } from '../common/admission/SlotQueue.js';
 import { RouteStatistics } from '../common/dispatch/RouteStatistics.js';
 import {
   HomeRefusalError,
@@ -19,23 +19,15 @@
 } from '../common/dispatch/Types.js';
 import { TargetRegistry, targetIncarnation } from '../common/fleet/TargetRegistry.js';
 import type { PublishedTarget, TargetReport } from '../common/fleet/Types.js';
-import { logit, HealthEstimator, type RunningRequest } from '../common/health/HealthEstimator.js';
+import { logit, type RunningRequest } from '../common/health/HealthEstimator.js';
 import { HomeRetryBudget, type FleetRetryLimits } from '../common/retry/HomeRetryBudget.js';
 import type { LatencyDistribution } from '../common/health/LatencyDistribution.js';
-import { TargetUsage } from '../common/health/TargetUsage.js';
-import { TrialRequestLimiter } from '../common/health/TrialRequestLimiter.js';
 import type { GuardedOutcome, GuardedRequest } from '../daemon/CrashGuard.js';
 import { createFingerprint } from '../daemon/fingerprint.js';
 import { TargetFailure } from '../daemon/TargetFailure.js';
+import { HostedTarget, type TargetConnector } from './HostedTarget.js';
 import { TargetHttpClient } from './TargetHttpClient.js';
-import type { TargetNotice } from './targetNotice.js';
-import type {
-  BodyProvider,
-  HeaderNames,
-  HomeRequest,
-  StreamedResponse,
-  TargetConnection,
-} from './Types.js';
+import type { BodyProvider, HeaderNames, HomeRequest, StreamedResponse } from './Types.js';
 
 /** Above this log-odds of being unhealthy, a target gets only trial requests and requests without a better target. */
 const suspectLogOdds = logit(0.5);
@@ -43,16 +35,9 @@
 const maxForcedLogOdds = logit(0.85);
 /** Milliseconds between checks of the queued requests. */
 const reviewInterval = 150;
-/** Milliseconds without requests for a target that refused a connection. */
-const downTime = 700;
 /** Milliseconds between checks for idle targets. */
 const usageCheckInterval = 500;
 const firstServerError = 500;
-const millisecondsPerSecond = 1_000;
-/** Age in milliseconds of a reported rate limit above which the target may have lifted it. */
-const maxAdoptedAge = 10_000;
-/** Characters of an invalid header value in a log line. */
-const maxLoggedLength = 40;
 
 const refusalReasons: Readonly<Record<SlotRefusal['reason'], RefusalReason>> = {
   busy: 'queue-full',
@@ -61,21 +46,6 @@
   cancelled: 'cancelled',
 };
 
-/** A target of this VM with its admission queue and health state. */
-interface HostedTarget extends Disposable {
-  report: TargetReport;
-  readonly connection: TargetConnection;
-  readonly queue: SlotQueue;
-  readonly health: HealthEstimator;
-  readonly trialLimiter: TrialRequestLimiter;
-  readonly usage: TargetUsage;
-  downUntil: number;
-  /** Requests per second that it takes, as it named them last; undefined without a limit. */
-  rateLimit: number | undefined;
-  /** Whether the target has responded to this daemon, which then knows its rate limit. */
-  hasResponded: boolean;
-}
-
 /** A request that was sent to a target. */
 interface SentRequest {
   readonly running: RunningRequest;
@@ -96,14 +66,8 @@
   readonly countTargets: () => number;
   /** Whether a target with these log-odds of being unhealthy may be excluded, which must leave enough targets. */
   readonly mayExclude: (unhealthyLogOdds: number) => boolean;
-  /**
-   * Creates the connection to a target; HTTP/1.1 by default. `onNotice` must be called with what the target says of
-   * itself in each response.
-   */
-  readonly connect?: (
-    report: TargetReport,
-    onNotice: (notice: TargetNotice) => void,
-  ) => TargetConnection;
+  /** Creates the connection to a target; HTTP/1.1 by default. */
+  readonly connect?: TargetConnector;
   /** Throws `NotRunError` if a request must not be sent to its target. */
   readonly checkStart: (request: GuardedRequest) => void;
 }
@@ -154,7 +118,7 @@
 
   /** Current load and health of each target. */
   public get conditions(): readonly (readonly [TargetId, TargetCondition])[] {
-    return [...this.hosted].map(([id, hosted]) => [id, this.conditionOf(hosted, 0)]);
+    return [...this.hosted].map(([id, hosted]) => [id, hosted.condition()]);
   }
 
   /** Milliseconds since the target of this VM got a request; undefined without one. */
@@ -222,18 +186,13 @@
    * started.
    */
   public adoptLimits(reports: readonly ConditionReport[]): void {
-    reports.forEach(({ target, condition: { limit }, age }) => {
-      const hosted = this.hosted.get(target);
-      if (hosted === undefined || hosted.hasResponded || limit === undefined) return;
-      if (hosted.rateLimit !== undefined || limit.interval <= 0 || age > maxAdoptedAge) return;
-      this.limitRate(hosted, millisecondsPerSecond / limit.interval);
-    });
+    reports.forEach((report) => this.hosted.get(report.target)?.adoptLimit(report));
   }
 
   /** Refuses new and queued requests; running requests are completed. */
   public drain(): void {
     this.isDraining = true;
-    this.hosted.forEach(({ queue }) => queue.evict('draining', () => true));
+    this.hosted.forEach((hosted) => hosted.evictQueue());
   }
 
   /**
@@ -289,64 +248,21 @@
       known.queue.resize(report.slots);
     }
     if (report.state === 'draining') {
-      this.hosted.get(report.id)?.queue.evict('draining', () => true);
+      this.hosted.get(report.id)?.evictQueue();
     }
     this.changeEmitter.fire();
   }
 
   private createHostedTarget(report: TargetReport): HostedTarget {
-    const { names, clock, connect } = this.settings;
-    const { address, slots } = report;
-    const queue = new SlotQueue(slots, clock);
-    const notices = new Emitter<TargetNotice>();
-    const onNotice = (notice: TargetNotice): void => notices.fire(notice);
-    const connection =
-      connect?.(report, onNotice) ?? new TargetHttpClient({ address, slots, names, onNotice });
-    const hosted: HostedTarget = {
-      report,
-      connection,
-      queue,
-      health: new HealthEstimator(clock),
-      trialLimiter: new TrialRequestLimiter(clock),
-      usage: new TargetUsage(clock),
-      downUntil: 0,
-      rateLimit: undefined,
-      hasResponded: false,
-      dispose: () => {
-        notices.dispose();
-        queue.dispose();
-        connection.dispose();
-      },
-    };
-    notices.event((notice) => this.applyNotice(hosted, notice));
+    const { names, clock, log } = this.settings;
+    const connect: TargetConnector =
+      this.settings.connect ??
+      (({ address, slots }, onNotice) => new TargetHttpClient({ address, slots, names, onNotice }));
+    const hosted = new HostedTarget(report, connect, clock, log);
+    hosted.onLeave(() => this.drainLeaving(hosted));
     return hosted;
   }
 
-  /** Applies what a target said of itself in a response. */
-  private applyNotice(hosted: HostedTarget, notice: TargetNotice): void {
-    hosted.hasResponded = true;
-    if (notice.isLeaving) this.drainLeaving(hosted);
-    const { rateLimit, invalidLimit } = notice;
-    if (invalidLimit === undefined) {
-      if (rateLimit !== hosted.rateLimit) this.limitRate(hosted, rateLimit);
-      return;
-    }
-    this.write('warn', 'ignored a rate limit that is not a number', {
-      target: hosted.report.id,
-      value: invalidLimit.slice(0, maxLoggedLength),
-    });
-  }
-
-  private limitRate(hosted: HostedTarget, rateLimit: number | undefined): void {
-    this.write('info', 'target changed its rate limit', {
-      target: hosted.report.id,
-      before: hosted.rateLimit,
-      rateLimit,
-    });
-    hosted.rateLimit = rateLimit;
-    hosted.queue.limitRate(rateLimit);
-  }
-
   /** A target may leave without an announcement, or before it. */
   private drainLeaving(hosted: HostedTarget): void {
     const { id, startedAt } = hosted.report;
@@ -354,7 +270,7 @@
     if (report === undefined || this.hosted.get(id) !== hosted) return;
     this.write('info', 'target says in a response that it leaves', { target: id, startedAt });
     hosted.report = report;
-    hosted.queue.evict('draining', () => true);
+    hosted.evictQueue();
     this.changeEmitter.fire();
   }
 
@@ -404,7 +320,7 @@
     if (this.isDraining || hosted.report.state === 'draining') {
       throw this.refuse(hosted, 'draining', request);
     }
-    if (hosted.downUntil > this.settings.clock.elapsed()) {
+    if (hosted.isDown) {
       throw this.refuse(hosted, 'connect-failed', request);
     }
     return hosted;
@@ -481,7 +397,7 @@
       const cut: OutcomeKind = isCancelled ? 'cancelled' : 'truncated';
       this.recordOutcome(hosted, request, run, error ? cut : whole);
     });
-    return { ...answer, body, condition: this.conditionOf(hosted, -1) };
+    return { ...answer, body, condition: hosted.condition(-1) };
   }
 
   private recordOutcome(
@@ -502,7 +418,7 @@
     else if (kind === 'cancelled' || kind === 'timeout') health.cancel(running);
     else if (kind === 'shed') health.refuse(running);
     else health.fail(running);
-    if (kind === 'connect-failed') hosted.downUntil = this.settings.clock.elapsed() + downTime;
+    if (kind === 'connect-failed') hosted.markDown();
     if (kind === 'success') return;
     this.write('info', `request at the target did not succeed: ${kind}`, {
       request: request.id,
@@ -514,31 +430,6 @@
     });
   }
 
-  /** Current condition; `runningDelta` adjusts the number of running requests. */
-  private conditionOf(
-    { queue, health, usage }: HostedTarget,
-    runningDelta: number,
-  ): TargetCondition {
-    const { running, queued, slots, interval, limitWait } = queue.load;
-    return {
-      running: Math.max(0, running + runningDelta),
-      queued,
-      slots,
-      work: Math.round(queue.meanServiceTime),
-      sickness: Number(health.logOdds.toFixed(2)),
-      idle: Math.round(usage.idleTime),
-      ...(interval === undefined
-        ? {}
-        : { limit: { interval: Math.ceil(interval), wait: Math.ceil(limitWait) } }),
-    };
-  }
-
-  /** Current condition as fields of a log line. */
-  private loggedCondition(hosted: HostedTarget): Readonly<Record<string, number | undefined>> {
-    const { limit, ...condition } = this.conditionOf(hosted, 0);
-    return { ...condition, rateLimit: hosted.rateLimit, limitWait: limit?.wait };
-  }
-
   /** Re-checks queued requests while there are any, since the target may become unhealthy meanwhile. */
   private scheduleReview(): void {
     if (this.reviewTimer !== undefined) return;
@@ -570,7 +461,7 @@
           target: id,
           service: hosted.report.service,
           refused,
-          ...this.loggedCondition(hosted),
+          ...hosted.loggedCondition,
           idle: Math.round(idleTime),
         });
       });
@@ -585,7 +476,7 @@
     retryAfter?: number,
     hasReachedTarget?: boolean,
   ): HomeRefusalError {
-    const condition = hosted === undefined ? undefined : this.conditionOf(hosted, 0);
+    const condition = hosted?.condition();
     hosted?.usage.recordRefusal();
     this.settings.log.write({
       level: 'info',
@@ -599,7 +490,7 @@
         entry: request.entry,
         patience: Math.round(request.maxQueueWait),
         retryAfter,
-        ...(hosted === undefined ? {} : this.loggedCondition(hosted)),
+        ...hosted?.loggedCondition,
       },
     });
     return new HomeRefusalError(
