Do not take a target for idle that its rate limit keeps idle

A target that takes one request a second is idle for a second between two, so each entry sent it the next retryable request first, and most were refused for the limit at the cost of a hop. A target with a limit counts as idle only after the time between two of its requests. The first of the two new cases of Placement.test.ts fails on the code before.

--- a/src/common/dispatch/Placement.test.ts
+++ b/src/common/dispatch/Placement.test.ts
@@ -52,11 +52,15 @@
   return { ...known, slots: 5, condition };
 }
 
+/** The candidate with a rate limit, if `interval` is given: the milliseconds between requests. */
+function withInterval(known: Candidate, interval: number | undefined, wait = 0): Candidate {
+  if (known.condition === undefined || interval === undefined) return known;
+  return { ...known, condition: { ...known.condition, limit: { interval, wait } } };
+}
+
 /** Candidate that takes one request a second, the next one after `wait` milliseconds. */
 function limited(name: string, dataCentre: string, wait: number): Candidate {
-  const known = candidate(name, dataCentre);
-  if (known.condition === undefined) return known;
-  return { ...known, condition: { ...known.condition, limit: { interval: 1_000, wait } } };
+  return withInterval(candidate(name, dataCentre), 1_000, wait);
 }
 
 function context(overrides: Partial<PlacementContext> = {}): PlacementContext {
@@ -237,12 +241,34 @@
     { name: 'not to one that its own entries use', dataCentre: 'gam-b', time: 900, best: 'known' },
     { name: 'to one that its own entries do not use', dataCentre: 'gam-b', best: 'idle' },
     { name: 'not to one of another region', dataCentre: 'gte-a', best: 'known' },
+    {
+      name: 'not to one that its rate limit keeps idle',
+      time: 1_300,
+      interval: 1_000,
+      best: 'known',
+    },
+    {
+      name: 'to one that gets less than its rate limit',
+      time: 1_500,
+      interval: 1_000,
+      best: 'idle',
+    },
   ];
   idle.forEach(
-    ({ name, dataCentre, time = 2_000, unhealthy = 0.1, queued = 0, isLast = false, best }) => {
+    ({
+      name,
+      dataCentre = 'gam-a',
+      time = 2_000,
+      unhealthy = 0.1,
+      queued = 0,
+      isLast = false,
+      interval,
+      best,
+    }) => {
       it(`sends retryable requests ${name}, so that healthy targets stay in use`, () => {
         const known = { ...candidate('known', 'gam-a', 0, 0.01), idle: 50 };
-        const unused = { ...candidate('idle', dataCentre, queued, unhealthy), idle: time };
+        const listed = candidate('idle', dataCentre, queued, unhealthy);
+        const unused = { ...withInterval(listed, interval), idle: time };
         const placement = new Placement(location, defaultLocality, withoutTrials);
         const [first] = placement.rank([known, unused], context({ isLast }));
         expect(first?.candidate.target).to.equal(best);
--- a/src/common/dispatch/Placement.ts
+++ b/src/common/dispatch/Placement.ts
@@ -110,7 +110,9 @@
   ranked: readonly RankedCandidate[],
   limit: number,
 ): RankedCandidate | undefined {
-  const idleTime = ({ candidate: { idle } }: RankedCandidate): number => idle ?? 0;
+  // A rate limit keeps its target idle for the time between two requests.
+  const idleTime = ({ candidate: { idle = 0, condition } }: RankedCandidate): number =>
+    idle - (condition?.limit?.interval ?? 0);
   return ranked
     .filter((candidate) => idleTime(candidate) > limit)
     .sort((left, right) => idleTime(right) - idleTime(left))[0];
