--- a/src/common/dispatch/Placement.ts
+++ b/src/common/dispatch/Placement.ts
@@ -105,16 +105,16 @@
   return unhealthyProbability >= unprovenShare * logistic(priorLogOdds);
 }
 
-/** Candidate that has got no request for longest, if that is longer than `limit` milliseconds. */
+/** Candidate that has got no request for longest, if that is longer than `threshold` milliseconds. */
 function longestIdle(
   ranked: readonly RankedCandidate[],
-  limit: number,
+  threshold: number,
 ): RankedCandidate | undefined {
   // A rate limit keeps its target idle for the time between two requests.
   const idleTime = ({ candidate: { idle = 0, condition } }: RankedCandidate): number =>
     idle - (condition?.limit?.interval ?? 0);
   return ranked
-    .filter((candidate) => idleTime(candidate) > limit)
+    .filter((candidate) => idleTime(candidate) > threshold)
     .sort((left, right) => idleTime(right) - idleTime(left))[0];
 }
 
