--- a/src/sidecar/FleetUsage.test.ts
+++ b/src/sidecar/FleetUsage.test.ts
@@ -9,6 +9,17 @@
 /** Milliseconds in which the entries learn of the targets. */
 const warmUp = 6_000;
 
+/** Calls that targets make while they run a request. */
+const call = {
+  rate: 0,
+  work: 220,
+  goal: 829,
+  timeout: 2_592,
+  deadline: 2_592,
+  isIdempotent: true,
+  rank: 1,
+};
+
 /** Auction site after its growth, on a quiet day: far more targets than the load needs. */
 const quietLoad: SimulatedLoad = {
   seed: 5,
@@ -54,28 +65,8 @@
       isIdempotent: true,
       rank: 1,
     },
-    {
-      name: 'ledger',
-      service: 'pujas',
-      rate: 0,
-      work: 220,
-      goal: 829,
-      timeout: 2_592,
-      deadline: 2_592,
-      isIdempotent: true,
-      rank: 1,
-    },
-    {
-      name: 'photos',
-      service: 'archivo',
-      rate: 0,
-      work: 220,
-      goal: 829,
-      timeout: 2_592,
-      deadline: 2_592,
-      isIdempotent: true,
-      rank: 1,
-    },
+    { ...call, name: 'ledger', service: 'pujas' },
+    { ...call, name: 'photos', service: 'archivo' },
   ],
 };
 
