Log why a source of the configuration is left, and how late a change may be

Cause: nothing showed how long a change had been in the store when a daemon applied it, and only the first failed read of a series was logged, without the source's age. Change: each failed read is logged with its source, its duration and the age of the known state. 'applied a configuration' names the source and the greatest possible delay; two gauges show the age and the delay. No decision changes.

--- a/src/common/fleet/RelayedStore.ts
+++ b/src/common/fleet/RelayedStore.ts
@@ -49,12 +49,34 @@
   readonly log: LogSink;
 }
 
+/** Read that failed. */
+interface FailedRead {
+  readonly source: ChangeSource;
+  /** Time of the call. */
+  readonly startedAt: number;
+  readonly error: unknown;
+}
+
+function nameOf(source: ChangeSource): string {
+  return source.type === 'store' ? 'store' : source.daemon;
+}
+
 /** State of one prefix that this daemon reads. */
 interface PrefixState {
   readonly mirror: StoreMirror;
   readonly selector: RelaySelector;
   readonly maxStaleness: number;
   lastSource: string;
+  /** Milliseconds since the store had confirmed the state that the last successful read replaced. */
+  previousAge: number;
+}
+
+/** Last successful read of a prefix. */
+export interface LastRead {
+  /** Id of a daemon, or `store`. */
+  readonly source: string;
+  /** Milliseconds since the store had confirmed the state that it replaced; no change in it is older. */
+  readonly previousAge: number;
 }
 
 /**
@@ -82,6 +104,7 @@
           : await this.settings.relays.snapshot(source.daemon, prefix);
       const isBehind = snapshot.revision < (mirror.revision ?? 0);
       this.check(state, source, isBehind ? Infinity : snapshot.age);
+      state.previousAge = mirror.age;
       mirror.replace(snapshot, snapshot.age);
       return snapshot;
     });
@@ -106,6 +129,7 @@
           ? { ...(await store.changes(prefix, after, held, signal)), age: 0 }
           : await relays.changes(source.daemon, prefix, after, held, signal);
       this.check(state, source, changes.age);
+      state.previousAge = mirror.age;
       mirror.add(changes, changes.age);
       return changes;
     });
@@ -118,6 +142,18 @@
     return state?.mirror;
   }
 
+  /** Milliseconds since the store confirmed the known state of a prefix; infinite before the first snapshot. */
+  public ageOf(prefix: string): number {
+    return this.prefixes.get(prefix)?.mirror.age ?? Infinity;
+  }
+
+  /** Last successful read of a prefix; undefined before the first one. */
+  public lastRead(prefix: string): LastRead | undefined {
+    const state = this.prefixes.get(prefix);
+    if (state?.mirror.revision === undefined) return undefined;
+    return { source: state.lastSource, previousAge: state.previousAge };
+  }
+
   /** Entries of a prefix as last read; undefined before the first snapshot. */
   public known(prefix: string): StoreSnapshot | undefined {
     return this.prefixes.get(prefix)?.mirror.snapshot;
@@ -136,6 +172,7 @@
         selector: new RelaySelector(self, prefix, candidates, clock),
         maxStaleness: this.settings.maxStaleness(prefix),
         lastSource: '',
+        previousAge: Infinity,
       };
       this.prefixes.set(prefix, state);
     }
@@ -149,6 +186,7 @@
   ): Promise<Result> {
     const state = this.stateOf(prefix);
     this.logSource(prefix, state, source);
+    const startedAt = this.settings.clock.elapsed();
     try {
       const result = await call();
       state.selector.recordSuccess(source);
@@ -156,20 +194,42 @@
     } catch (error) {
       // After a compaction the same source has the whole state.
       if (!(error instanceof RevisionCompactedError)) state.selector.recordFailure(source);
+      this.logFailure(prefix, state, { source, startedAt, error });
       throw error;
     }
   }
 
+  private logFailure(
+    prefix: string,
+    { mirror }: PrefixState,
+    { source, startedAt, error }: FailedRead,
+  ): void {
+    this.settings.log.write({
+      level: 'info',
+      kind: 'membership',
+      message: 'could not read the changes of the store from a source',
+      fields: {
+        step: 'fleet.relay',
+        prefix,
+        source: nameOf(source),
+        duration: Math.round(this.settings.clock.elapsed() - startedAt),
+        revision: mirror.revision,
+        age: Math.round(mirror.age),
+        error: String(error),
+      },
+    });
+  }
+
   private check({ maxStaleness }: PrefixState, source: ChangeSource, age: number): void {
     if (source.type === 'store' || age <= staleness.maxAge * maxStaleness) return;
-    throw new FleetError('the state of the relay is too old', {
+    throw new FleetError(`the relay's state is ${Math.round(age)} ms old`, {
       step: 'fleet.relay',
       peer: source.daemon,
     });
   }
 
   private logSource(prefix: string, state: PrefixState, source: ChangeSource): void {
-    const name = source.type === 'store' ? 'store' : source.daemon;
+    const name = nameOf(source);
     if (name === state.lastSource) return;
     this.settings.log.write({
       level: 'info',
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -76,6 +76,8 @@
 const pruneInterval = 2_000;
 /** Milliseconds within which the own poll should bring a configuration that another daemon already has. */
 const refreshDelay = 400;
+/** Maximum age in the metrics, in milliseconds; before the first read it is infinite. */
+const maxReportedAge = 3_600_000;
 /** Maximum milliseconds for removing the own record from the store at the end of a stop. */
 const withdrawTimeout = 200;
 /** Milliseconds between checks of the requests in flight during a stop. */
@@ -140,6 +142,9 @@
 
   private isRefreshScheduled = false;
 
+  /** Milliseconds that the last change of the configuration had been in the store at most when it was read. */
+  private configurationDelay = 0;
+
   public constructor(
     private settings: SidecarSettings,
     private readonly environment: SidecarEnvironment,
@@ -409,7 +414,14 @@
       });
       return;
     }
-    this.traffic.apply(decoded.right);
+    const { source = '', previousAge = Infinity } = this.relayed.lastRead(entry.key) ?? {};
+    // A process that has just started had no state that could be outdated.
+    if (Number.isFinite(previousAge)) this.configurationDelay = Math.round(previousAge);
+    this.traffic.apply(decoded.right, {
+      revision: entry.modRevision,
+      source,
+      delay: this.configurationDelay,
+    });
   }
 
   private replaceFleet({ entries, revision }: StoreSnapshot): void {
@@ -545,6 +557,10 @@
     return {
       ready: this.isReady ? 1 : 0,
       configuration_version: this.traffic.version,
+      configuration_delay_milliseconds: this.configurationDelay,
+      configuration_age_milliseconds: Math.round(
+        Math.min(this.relayed.ageOf(this.environment.configuration.key), maxReportedAge),
+      ),
       known_daemons: this.directory.size,
       callers_in_flight: this.callerServer.load,
       home_in_flight: this.home.load,
--- a/src/sidecar/TrafficState.ts
+++ b/src/sidecar/TrafficState.ts
@@ -48,8 +48,11 @@
     return O.toUndefined(this.table.find({ method: '', host, path }));
   }
 
-  /** Applies a version if it is newer. */
-  public apply(configuration: TrafficConfiguration): void {
+  /** Applies a version if it is newer; the log line also has the fields of `origin`. */
+  public apply(
+    configuration: TrafficConfiguration,
+    origin: Readonly<Record<string, number | string>> = {},
+  ): void {
     const before = this.version;
     const isNewer = configuration.version > before;
     this.log.write({
@@ -61,6 +64,7 @@
         version: configuration.version,
         before,
         routes: configuration.routes.length,
+        ...origin,
       },
     });
     if (!isNewer) return;
