Ask further sources of the configuration by the age of what is known

Cause: sources were asked one after the other. A held poll, a timeout and a backoff for each add up when two fail in a row, and the next relay is as old as the first, which it followed. The bound of 2 s was argued for one failing relay. Class: a bound on the whole that is enforced by a timeout for each step. Change: RelayedStore runs a race. The age of the known state decides when the next group of sources is asked beside those that are silent: standbys, the store, some neighbours, all neighbours. A relay ends a held poll when the store confirms its state, so that a response also confirms. Daemons follow only relays that speak this version of the polls; older daemons still follow these.

--- a/src/common/fleet/FleetDirectory.ts
+++ b/src/common/fleet/FleetDirectory.ts
@@ -269,15 +269,15 @@
     return worse.length < Math.ceil(targets.length * maxExcludedShare);
   }
 
-  /** Daemons of a data centre that are serving and reachable and read this encoding of requests. */
-  public daemonsOf(dataCentre: DataCentre, encoding: number): readonly DaemonId[] {
+  /** Daemons of a data centre that are serving and reachable and answer polls of this version as relays. */
+  public relaysOf(dataCentre: DataCentre, relayVersion: number): readonly DaemonId[] {
     const now = this.clock.elapsed();
     return [...this.peers.values()]
       .filter(
         ({ record, unlistedAt, backoffUntil }) =>
           record.dataCentre === dataCentre &&
           record.state === 'serving' &&
-          (record.encoding ?? 1) >= encoding &&
+          (record.relayVersion ?? 1) >= relayVersion &&
           unlistedAt === undefined &&
           backoffUntil <= now,
       )
--- a/src/common/fleet/RelaySelector.ts
+++ b/src/common/fleet/RelaySelector.ts
@@ -6,6 +6,10 @@
 const avoidanceTime = 6_000;
 /** Relays that are tried before the store. */
 const maxRelays = 2;
+/** Daemons that rank next and read the store themselves when the first relay gives no news. */
+const maxStandbys = 2;
+/** Daemons asked together after the standbys and the store, before all others. */
+const maxNeighbours = 4;
 
 /** Where a daemon reads the changes of the store: a relay in its data centre, or the store itself. */
 export type ChangeSource =
@@ -41,17 +45,52 @@
 
   /** Source of the next call. */
   public choose(): ChangeSource {
-    const now = this.clock.elapsed();
-    const isAvoided = (daemon: DaemonId): boolean => (this.avoidedUntil.get(daemon) ?? 0) > now;
-    const isFollowed = now - this.followedAt < servingTime && !isAvoided(this.self);
+    const isFollowed =
+      this.clock.elapsed() - this.followedAt < servingTime && !this.isAvoided(this.self);
     if (isFollowed || this.failures >= maxRelays) return { type: 'store' };
     const [first] = rankByRendezvous(this.key, this.candidates()).filter(
-      (daemon) => !isAvoided(daemon),
+      (daemon) => !this.isAvoided(daemon),
     );
     if (first === undefined || first === this.self) return { type: 'store' };
     return { type: 'relay', daemon: first };
   }
 
+  /**
+   * Groups of sources to ask besides `primary` while it gives no news: the standbys, which ask the store then; the store;
+   * some other daemons; all others. A group is computed when it is asked.
+   */
+  public backups(primary: ChangeSource): readonly (() => readonly ChangeSource[])[] {
+    const asked = new Set<DaemonId>([this.self]);
+    if (primary.type === 'relay') asked.add(primary.daemon);
+    let isStoreAsked = false;
+    const askStore = (): readonly ChangeSource[] => {
+      if (isStoreAsked) return [];
+      isStoreAsked = true;
+      return [{ type: 'store' }];
+    };
+    const ask = (ranked: readonly DaemonId[], count: number): readonly ChangeSource[] => {
+      const daemons = ranked
+        .filter((daemon) => !asked.has(daemon) && !this.isAvoided(daemon))
+        .slice(0, count);
+      daemons.forEach((daemon) => asked.add(daemon));
+      return daemons.map((daemon) => ({ type: 'relay', daemon }));
+    };
+    const inOwnOrder = (): DaemonId[] =>
+      rankByRendezvous(`${this.key} ${this.self}`, this.candidates());
+    return [
+      () => {
+        const ranked = rankByRendezvous(this.key, this.candidates());
+        const isStandby = ranked.slice(0, 1 + maxStandbys).includes(this.self);
+        // A connection to the store that lost a response stays silent, so the store is asked on another one.
+        const readsStore = isStandby || primary.type === 'store';
+        return [...(readsStore ? askStore() : []), ...ask(ranked, maxStandbys)];
+      },
+      askStore,
+      () => ask(inOwnOrder(), maxNeighbours),
+      () => ask(inOwnOrder(), Infinity),
+    ];
+  }
+
   /** Records a successful call. */
   public recordSuccess(source: ChangeSource): void {
     this.failures = 0;
@@ -64,6 +103,10 @@
     this.avoidedUntil.set(this.readerOf(source), this.clock.elapsed() + avoidanceTime);
   }
 
+  private isAvoided(daemon: DaemonId): boolean {
+    return (this.avoidedUntil.get(daemon) ?? 0) > this.clock.elapsed();
+  }
+
   /** Daemon that reads the store for this source. */
   private readerOf(source: ChangeSource): DaemonId {
     return source.type === 'store' ? this.self : source.daemon;
--- a/src/common/fleet/RelayedStore.test.ts
+++ b/src/common/fleet/RelayedStore.test.ts
@@ -92,4 +92,20 @@
     await fleet.clock.advanceAsync(10);
     expect(fleet.store.callCounts.range).to.equal(3);
   });
+
+  it('asks a daemon that has a newer state at once, since the own source may be behind', async () => {
+    const fleet = createFleet(8);
+    await fleet.settle();
+    const [first, , third] = rankByRendezvous(prefix, fleet.ids);
+    fleet.followers.forEach((follower) => {
+      Object.assign(follower, { storeLink: follower.id === third ? 'open' : 'silent' });
+    });
+    const late = fleet.followers.find(({ id }) => id !== first && id !== third) as Follower;
+    fleet.store.put(key, 'second');
+    fleet.find(third!)!.refreshFrom(first!);
+    await fleet.clock.advanceAsync(200);
+    late.refreshFrom(third!);
+    await fleet.clock.advanceAsync(50);
+    expect(late.seen.get(key)).to.equal('second');
+  });
 });
--- a/src/common/fleet/RelayedStore.ts
+++ b/src/common/fleet/RelayedStore.ts
@@ -7,28 +7,31 @@
   type LogSink,
 } from '../base/index.js';
 import { RevisionCompactedError } from './errors.js';
+import { raceStages, type RaceStage } from './raceStages.js';
 import { RelaySelector, type ChangeSource } from './RelaySelector.js';
 import { StoreMirror } from './StoreMirror.js';
-import type { PolledStore, StoreChanges, StoreSnapshot } from './Types.js';
+import type { PolledStore, RelayPoll, StoreChanges, StoreSnapshot } from './Types.js';
 
 /**
- * Shares of the maximum staleness. A relay that the store does not answer is noticed at its maximum age, which is more
- * than the store holds a poll, and at the end of a poll that the relay holds; the rest is for the next source to answer.
+ * Shares of the maximum staleness. The store holds a poll for `storeWait`, so a state that is `outdated` shows that its
+ * source gives no news. From then on further groups of sources are asked beside it, each `step` after the one before; the
+ * last group still has a step left to answer.
  */
-const staleness = { storeWait: 0.4, maxAge: 0.65, relayWait: 0.25 } as const;
+const staleness = { storeWait: 0.4, outdated: 0.55, step: 0.125 } as const;
+/** Milliseconds after which further sources are asked for a change that another daemon is known to have. */
+const urgentStep = 150;
 
 /** A response of a relay with the milliseconds since the store confirmed it. */
 export type Aged<Content> = Content & { readonly age: number };
 
 /** Calls to the daemons that relay changes. Each throws `FleetError` if the relay does not respond in time. */
 export interface RelayClient {
-  snapshot(daemon: DaemonId, prefix: string): Promise<Aged<StoreSnapshot>>;
+  snapshot(daemon: DaemonId, prefix: string, signal: AbortSignal): Promise<Aged<StoreSnapshot>>;
   /** Throws `RevisionCompactedError` if the relay no longer knows the changes. */
   changes(
     daemon: DaemonId,
     prefix: string,
-    after: number,
-    wait: number,
+    poll: RelayPoll,
     signal: AbortSignal,
   ): Promise<Aged<StoreChanges>>;
 }
@@ -36,8 +39,8 @@
 /** Settings and dependencies of a relayed store. */
 export interface RelayedStoreSettings {
   /**
-   * Milliseconds after a change of a prefix within which this daemon knows it although its relay has failed or was cut
-   * from the store. Shorter means more polls.
+   * Milliseconds after a change of a prefix within which this daemon knows it, if it reaches the store or a daemon that
+   * does, whatever other sources have failed. Shorter means more polls.
    */
   readonly maxStaleness: (prefix: string) => number;
   readonly self: DaemonId;
@@ -49,14 +52,24 @@
   readonly log: LogSink;
 }
 
-/** Read that failed. */
-interface FailedRead {
-  readonly source: ChangeSource;
-  /** Time of the call. */
-  readonly startedAt: number;
-  readonly error: unknown;
+/** Poll of one source. */
+interface Poll {
+  readonly prefix: string;
+  readonly state: PrefixState;
+  readonly after: number;
+  /** Milliseconds for which the first source may hold the poll. */
+  readonly wait: number;
+  /** Source that is asked first. */
+  readonly primary: ChangeSource;
+  /** Whether another daemon has a newer state, so that a response without changes is of no use. */
+  readonly isUrgent: boolean;
 }
 
+/** What a source answered to a poll; a snapshot if it no longer has the changes. */
+type PollResult =
+  | (Aged<StoreChanges> & { readonly type: 'changes' })
+  | (Aged<StoreSnapshot> & { readonly type: 'snapshot' });
+
 function nameOf(source: ChangeSource): string {
   return source.type === 'store' ? 'store' : source.daemon;
 }
@@ -69,6 +82,9 @@
   lastSource: string;
   /** Milliseconds since the store had confirmed the state that the last successful read replaced. */
   previousAge: number;
+  /** Whether another daemon has a newer state, and which one if that is known. */
+  isUrgent: boolean;
+  holder: DaemonId | undefined;
 }
 
 /** Last successful read of a prefix. */
@@ -91,26 +107,21 @@
 
   public constructor(private readonly settings: RelayedStoreSettings) {}
 
+  /** Reads all entries from the store at first; later returns those that `changes` has read in place of the changes. */
   public async snapshot(prefix: string): Promise<StoreSnapshot> {
-    const state = this.stateOf(prefix);
-    const { mirror, selector } = state;
+    const { mirror } = this.stateOf(prefix);
     // A process that has just started knows no revision by which it could tell that a relay is behind.
-    const source: ChangeSource =
-      mirror.revision === undefined ? { type: 'store' } : selector.choose();
-    return this.read(prefix, source, async () => {
-      const snapshot =
-        source.type === 'store'
-          ? { ...(await this.settings.store.snapshot(prefix)), age: 0 }
-          : await this.settings.relays.snapshot(source.daemon, prefix);
-      const isBehind = snapshot.revision < (mirror.revision ?? 0);
-      this.check(state, source, isBehind ? Infinity : snapshot.age);
-      state.previousAge = mirror.age;
-      mirror.replace(snapshot, snapshot.age);
-      return snapshot;
-    });
+    if (mirror.snapshot !== undefined) return mirror.snapshot;
+    const snapshot = await this.settings.store.snapshot(prefix);
+    this.recordSource(prefix, { type: 'store' });
+    mirror.replace(snapshot, 0);
+    return snapshot;
   }
 
-  /** Waits for changes at most as long as the current source holds a poll, `wait` at the most. */
+  /**
+   * Waits for changes at most as long as a source holds a poll, `wait` at the most. Throws `RevisionCompactedError` if all
+   * entries were read instead, which `snapshot` then returns.
+   */
   public async changes(
     prefix: string,
     after: number,
@@ -118,27 +129,49 @@
     signal: AbortSignal,
   ): Promise<StoreChanges> {
     const state = this.stateOf(prefix);
-    const { mirror, selector, maxStaleness } = state;
-    const source = selector.choose();
-    return this.read(prefix, source, async () => {
-      const { store, relays } = this.settings;
-      const share = source.type === 'store' ? staleness.storeWait : staleness.relayWait;
-      const held = Math.min(wait, Math.round(share * maxStaleness));
-      const changes =
-        source.type === 'store'
-          ? { ...(await store.changes(prefix, after, held, signal)), age: 0 }
-          : await relays.changes(source.daemon, prefix, after, held, signal);
-      this.check(state, source, changes.age);
-      state.previousAge = mirror.age;
-      mirror.add(changes, changes.age);
-      return changes;
+    const { mirror, selector } = state;
+    const primary = selector.choose();
+    const poll: Poll = { prefix, state, after, wait, primary, isUrgent: state.isUrgent };
+    const stages = this.stagesOf(poll);
+    state.isUrgent = false;
+    const { contender, overtaken, result } = await raceStages(
+      stages,
+      (source, cancelled) => this.askSource(poll, source, cancelled),
+      this.settings.clock,
+      signal,
+    );
+    overtaken.forEach((source) => {
+      selector.recordFailure(source);
+      this.logFailure(poll, source, 'another source answered first');
+    });
+    selector.recordSuccess(contender);
+    this.recordSource(prefix, contender);
+    state.previousAge = mirror.age;
+    if (result.type === 'changes') {
+      mirror.add(result, result.age);
+      return result;
+    }
+    mirror.replace(result, result.age);
+    throw new RevisionCompactedError('read all entries instead of the changes', 'not-applied', {
+      step: 'fleet.relay',
+      peer: nameOf(contender),
     });
   }
 
-  /** Mirror of a prefix for a daemon that follows this one; undefined if this daemon does not read the prefix. */
-  public mirrorForFollower(prefix: string): StoreMirror | undefined {
+  /** Reports that a daemon has a newer state, so that the next read does not wait for the usual source. */
+  public reportNewer(prefix: string, holder: DaemonId | undefined): void {
+    const state = this.stateOf(prefix);
+    state.isUrgent = true;
+    state.holder = holder;
+  }
+
+  /**
+   * Mirror of a prefix for a daemon that polls this one; undefined if this daemon does not read the prefix. A daemon that
+   * polls several ones follows only the first.
+   */
+  public mirrorForFollower(prefix: string, isFollowed: boolean): StoreMirror | undefined {
     const state = this.prefixes.get(prefix);
-    state?.selector.recordFollower();
+    if (isFollowed) state?.selector.recordFollower();
     return state?.mirror;
   }
 
@@ -173,37 +206,103 @@
         maxStaleness: this.settings.maxStaleness(prefix),
         lastSource: '',
         previousAge: Infinity,
+        isUrgent: false,
+        holder: undefined,
       };
       this.prefixes.set(prefix, state);
     }
     return state;
   }
 
-  private async read<Result>(
-    prefix: string,
+  private stagesOf({ state, primary, isUrgent }: Poll): readonly RaceStage<ChangeSource>[] {
+    const { mirror, selector, maxStaleness, holder } = state;
+    const holders: readonly ChangeSource[] =
+      isUrgent && holder !== undefined ? [{ type: 'relay', daemon: holder }] : [];
+    const firstDelay = isUrgent ? 0 : staleness.outdated * maxStaleness - mirror.age;
+    const step = isUrgent ? urgentStep : staleness.step * maxStaleness;
+    return [
+      { delay: 0, contenders: () => [primary, ...holders] },
+      ...selector.backups(primary).map((contenders, index) => ({
+        delay: Math.max(0, firstDelay + index * step),
+        contenders,
+      })),
+    ];
+  }
+
+  private async askSource(
+    poll: Poll,
     source: ChangeSource,
-    call: () => Promise<Result>,
-  ): Promise<Result> {
-    const state = this.stateOf(prefix);
-    this.logSource(prefix, state, source);
-    const startedAt = this.settings.clock.elapsed();
+    signal: AbortSignal,
+  ): Promise<PollResult> {
     try {
-      const result = await call();
-      state.selector.recordSuccess(source);
+      const result = await this.readSource(poll, source, signal);
+      this.checkNews(poll, source, result);
       return result;
     } catch (error) {
-      // After a compaction the same source has the whole state.
-      if (!(error instanceof RevisionCompactedError)) state.selector.recordFailure(source);
-      this.logFailure(prefix, state, { source, startedAt, error });
+      if (!signal.aborted) {
+        // In an urgent read, a source without the change may just be as late as this daemon.
+        if (!poll.isUrgent) poll.state.selector.recordFailure(source);
+        this.logFailure(poll, source, String(error));
+      }
       throw error;
     }
   }
 
-  private logFailure(
-    prefix: string,
-    { mirror }: PrefixState,
-    { source, startedAt, error }: FailedRead,
+  private async readSource(
+    poll: Poll,
+    source: ChangeSource,
+    signal: AbortSignal,
+  ): Promise<PollResult> {
+    const { store, relays } = this.settings;
+    const { prefix } = poll;
+    try {
+      return { type: 'changes', ...(await this.pollSource(poll, source, signal)) };
+    } catch (error) {
+      if (!(error instanceof RevisionCompactedError)) throw error;
+      const snapshot =
+        source.type === 'store'
+          ? { ...(await store.snapshot(prefix, signal)), age: 0 }
+          : await relays.snapshot(source.daemon, prefix, signal);
+      return { type: 'snapshot', ...snapshot };
+    }
+  }
+
+  private async pollSource(
+    { prefix, state: { mirror, maxStaleness }, after, wait, primary, isUrgent }: Poll,
+    source: ChangeSource,
+    signal: AbortSignal,
+  ): Promise<Aged<StoreChanges>> {
+    const { store, relays } = this.settings;
+    const isPrimary = source === primary;
+    if (source.type === 'store') {
+      const held = isPrimary && !isUrgent ? Math.round(staleness.storeWait * maxStaleness) : 0;
+      return { ...(await store.changes(prefix, after, Math.min(wait, held), signal)), age: 0 };
+    }
+    const held = Math.round(staleness.outdated * maxStaleness);
+    const poll = { after, age: mirror.age, wait: Math.min(wait, held), isFollower: isPrimary };
+    return relays.changes(source.daemon, prefix, poll, signal);
+  }
+
+  /** Throws `FleetError` if a response neither brings anything newer nor confirms that there is nothing. */
+  private checkNews(
+    { state: { mirror, maxStaleness }, isUrgent }: Poll,
+    source: ChangeSource,
+    result: PollResult,
   ): void {
+    const known = mirror.revision ?? 0;
+    const isNewer =
+      result.type === 'changes' ? result.changes.length > 0 : result.revision >= known;
+    if (isNewer) return;
+    const isConfirmed =
+      result.type === 'changes' && !isUrgent && result.age <= staleness.outdated * maxStaleness;
+    if (isConfirmed) return;
+    throw new FleetError(`nothing newer in a state of ${Math.round(result.age)} ms ago`, {
+      step: 'fleet.relay',
+      peer: nameOf(source),
+    });
+  }
+
+  private logFailure({ prefix, state, after }: Poll, source: ChangeSource, error: string): void {
     this.settings.log.write({
       level: 'info',
       kind: 'membership',
@@ -212,23 +311,15 @@
         step: 'fleet.relay',
         prefix,
         source: nameOf(source),
-        duration: Math.round(this.settings.clock.elapsed() - startedAt),
-        revision: mirror.revision,
-        age: Math.round(mirror.age),
-        error: String(error),
+        revision: after,
+        age: Math.round(state.mirror.age),
+        error,
       },
     });
   }
 
-  private check({ maxStaleness }: PrefixState, source: ChangeSource, age: number): void {
-    if (source.type === 'store' || age <= staleness.maxAge * maxStaleness) return;
-    throw new FleetError(`the relay's state is ${Math.round(age)} ms old`, {
-      step: 'fleet.relay',
-      peer: source.daemon,
-    });
-  }
-
-  private logSource(prefix: string, state: PrefixState, source: ChangeSource): void {
+  private recordSource(prefix: string, source: ChangeSource): void {
+    const state = this.stateOf(prefix);
     const name = nameOf(source);
     if (name === state.lastSource) return;
     this.settings.log.write({
@@ -241,6 +332,7 @@
         source: name,
         before: state.lastSource,
         revision: state.mirror.revision,
+        age: Math.round(state.mirror.age),
       },
     });
     state.lastSource = name;
--- a/src/common/fleet/StoreMirror.ts
+++ b/src/common/fleet/StoreMirror.ts
@@ -16,6 +16,11 @@
   /** Fires after new changes. */
   public readonly onChange = this.changeEmitter.event;
 
+  private readonly confirmEmitter = new Emitter<void>();
+
+  /** Fires after each successful read, with or without changes. */
+  public readonly onConfirm = this.confirmEmitter.event;
+
   private known: number | undefined;
 
   /** Revision before which changes may be missing here. */
@@ -23,7 +28,7 @@
 
   private deletions = 0;
 
-  private confirmedAt = -Infinity;
+  private lastConfirmedAt = -Infinity;
 
   public constructor(private readonly clock: Clock) {}
 
@@ -34,7 +39,12 @@
 
   /** Milliseconds since the store confirmed that `revision` is the newest; infinite before the first snapshot. */
   public get age(): number {
-    return this.clock.elapsed() - this.confirmedAt;
+    return this.clock.elapsed() - this.lastConfirmedAt;
+  }
+
+  /** Monotonic time at which the store last confirmed that `revision` is the newest; -Infinity before the first snapshot. */
+  public get confirmedAt(): number {
+    return this.lastConfirmedAt;
   }
 
   /** Replaces all entries by those that the store had `age` milliseconds ago, unless newer changes are known. */
@@ -48,6 +58,7 @@
     this.known = revision;
     this.confirm(age);
     this.changeEmitter.fire();
+    this.confirmEmitter.fire();
   }
 
   /** Adds changes that follow `revision`, confirmed by the store `age` milliseconds ago. */
@@ -57,6 +68,7 @@
     this.known = Math.max(this.known, revision);
     this.confirm(age);
     if (changes.length > 0) this.changeEmitter.fire();
+    this.confirmEmitter.fire();
   }
 
   /** All entries; undefined before the first snapshot. */
@@ -85,6 +97,7 @@
 
   public dispose(): void {
     this.changeEmitter.dispose();
+    this.confirmEmitter.dispose();
   }
 
   private addChange(change: StoreChange): void {
@@ -107,6 +120,6 @@
   }
 
   private confirm(age: number): void {
-    this.confirmedAt = Math.max(this.confirmedAt, this.clock.elapsed() - age);
+    this.lastConfirmedAt = Math.max(this.lastConfirmedAt, this.clock.elapsed() - age);
   }
 }
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -34,6 +34,8 @@
   readonly state: 'serving' | 'leaving';
   /** Newest encoding of forwarded requests that the daemon reads; 1 if it is missing. */
   readonly encoding?: number;
+  /** Newest version of the polls that it answers as a relay; 1 if it is missing. */
+  readonly relayVersion?: number;
   readonly targets: readonly PublishedTarget[];
 }
 
@@ -65,11 +67,23 @@
   readonly revision: number;
 }
 
+/** Poll of a daemon that follows another one. */
+export interface RelayPoll {
+  /** Revision that the follower knows. */
+  readonly after: number;
+  /** Milliseconds since the store confirmed the state of the follower; 0 if it does not say. */
+  readonly age: number;
+  /** Milliseconds for which the poll may be held without news. */
+  readonly wait: number;
+  /** Whether the follower reads from this relay usually; it polls others when that one gives no news. */
+  readonly isFollower: boolean;
+}
+
 /** Store whose changes are read by long polling. Every call can throw `StoreError`. */
 export interface PolledStore
   extends Pick<Store, 'get' | 'transact' | 'grantLease' | 'keepAlive' | 'revokeLease'>, Disposable {
   /** Reads all entries under a prefix. */
-  snapshot(prefix: string): Promise<StoreSnapshot>;
+  snapshot(prefix: string, signal?: AbortSignal): Promise<StoreSnapshot>;
   /**
    * Waits up to `wait` milliseconds for changes after a revision.
    * Throws `RevisionCompactedError` if the store has compacted them.
--- a/src/common/fleet/daemonRecords.ts
+++ b/src/common/fleet/daemonRecords.ts
@@ -7,6 +7,9 @@
 /** Slots of a target. */
 export const maxSlots = 100_000;
 
+/** Version of the polls between daemons that this build speaks: 2 ends a poll when the store confirms the state. */
+export const newestRelayVersion = 2;
+
 /** Version of a record; daemons compare it to detect an outdated copy. */
 export function recordVersion({ incarnation, serial }: DaemonRecord): string {
   return `${incarnation}/${serial}`;
@@ -36,18 +39,24 @@
 /** Copies the known fields of a record; undefined if one is missing or invalid. */
 function readRecord(value: unknown): DaemonRecord | undefined {
   const record = (value ?? {}) as Partial<DaemonRecord>;
-  const { daemon, incarnation, serial, address, region, dataCentre, state, encoding } = record;
+  const { daemon, incarnation, serial, address, region, dataCentre, state } = record;
+  const { encoding, relayVersion } = record;
   if (!isName(daemon) || !isName(incarnation) || !isName(region) || !isName(dataCentre)) {
     return undefined;
   }
   if (!isName(address) || !isHostAndPort(address) || !isCount(serial, 0)) return undefined;
   if (state !== 'serving' && state !== 'leaving') return undefined;
   if (encoding !== undefined && !isCount(encoding, 1)) return undefined;
+  if (relayVersion !== undefined && !isCount(relayVersion, 1)) return undefined;
   if (!Array.isArray(record.targets)) return undefined;
   const targets = record.targets.map(readTarget);
   if (!targets.every((target) => target !== undefined)) return undefined;
   const common = { daemon, incarnation, serial, address, region, dataCentre, state };
-  return { ...common, ...(encoding === undefined ? {} : { encoding }), targets };
+  const versions = {
+    ...(encoding === undefined ? {} : { encoding }),
+    ...(relayVersion === undefined ? {} : { relayVersion }),
+  };
+  return { ...common, ...versions, targets };
 }
 
 /**
--- a/src/sidecar/HomeServer.ts
+++ b/src/sidecar/HomeServer.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { buffer } from 'node:stream/consumers';
 import { pipeline } from 'node:stream';
-import type { Disposable, LogSink } from '../api/index.js';
+import { brandAs, type DaemonId, type Disposable, type LogSink } from '../api/index.js';
 import {
   HomeRefusalError,
   type ConditionReport,
@@ -60,8 +60,8 @@
   readonly conditions: () => readonly ConditionReport[];
   /** Called with the target conditions that an entry sent. */
   readonly onConditions: (reports: readonly ConditionReport[]) => void;
-  /** Called with the configuration version by which an entry routed. */
-  readonly onVersion: (version: number) => void;
+  /** Called with the configuration version by which an entry routed, and the entry if it is known. */
+  readonly onVersion: (version: number, entry: DaemonId | undefined) => void;
   readonly log: LogSink;
 }
 
@@ -127,7 +127,8 @@
     response.writeProcessing();
     const { codec, request: peerRequest } = decoded;
     const { metadata, conditions } = peerRequest;
-    this.settings.onVersion(metadata.version);
+    const entry = metadata.entry === '' ? undefined : brandAs<DaemonId>(metadata.entry);
+    this.settings.onVersion(metadata.version, entry);
     this.settings.onConditions(conditions ?? []);
     const homeRequest: HomeRequest = {
       ...metadata,
--- a/src/sidecar/PeerHttpClient.ts
+++ b/src/sidecar/PeerHttpClient.ts
@@ -63,7 +63,7 @@
   readonly codecs: PeerCodecs;
   readonly clock: Clock;
   /** Called with the configuration version of a responding daemon. */
-  readonly onVersion: (version: number) => void;
+  readonly onVersion: (version: number, daemon: DaemonId) => void;
   /** Recent target conditions, sent to daemons of this region. */
   readonly conditions: () => readonly ConditionReport[];
   /** Called with the target conditions that a responding daemon sent. */
@@ -272,7 +272,7 @@
       throw this.endFailed(exchange, response, mayHaveRun ? noState : notHome);
     }
     const { version, conditions, condition, failure } = state;
-    this.settings.onVersion(version);
+    this.settings.onVersion(version, candidate.daemon);
     this.settings.onConditions(conditions ?? []);
     const record = decodeRecord(state.record ?? '', candidate.daemon);
     if (record !== undefined) this.settings.onRecord(record);
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -21,7 +21,7 @@
   AttemptRequest,
   TargetAnswer,
 } from '../common/dispatch/Types.js';
-import { decodeRecord, encodeRecord } from '../common/fleet/daemonRecords.js';
+import { decodeRecord, encodeRecord, newestRelayVersion } from '../common/fleet/daemonRecords.js';
 import { FleetDirectory } from '../common/fleet/FleetDirectory.js';
 import { SharedWatchStore } from '../common/fleet/SharedWatchStore.js';
 import { PrefixWatcher } from '../common/fleet/PrefixWatcher.js';
@@ -76,6 +76,8 @@
 const pruneInterval = 2_000;
 /** Milliseconds within which the own poll should bring a configuration that another daemon already has. */
 const refreshDelay = 400;
+/** Milliseconds between reads for a newer configuration, which may be gone from the store. */
+const refreshInterval = 1_500;
 /** Maximum age in the metrics, in milliseconds; before the first read it is infinite. */
 const maxReportedAge = 3_600_000;
 /** Maximum milliseconds for removing the own record from the store at the end of a stop. */
@@ -140,7 +142,7 @@
 
   private hasFleetSnapshot = false;
 
-  private isRefreshScheduled = false;
+  private refreshAllowedAt = -Infinity;
 
   /** Milliseconds that the last change of the configuration had been in the store at most when it was read. */
   private configurationDelay = 0;
@@ -194,7 +196,8 @@
         isDown: async () => !(await canConnect(settings.target)),
       }),
     );
-    const onVersion = (version: number): void => this.refreshIfOlder(version);
+    const onVersion = (version: number, holder: DaemonId | undefined): void =>
+      this.refreshIfOlder(version, holder);
     const onConditions = (reports: readonly ConditionReport[]): void => {
       this.home.adoptLimits(reports);
       this.directory.mergeConditions(reports);
@@ -310,7 +313,7 @@
           prefix === this.environment.configuration.key ? configurationStaleness : fleetStaleness,
         store,
         relays,
-        candidates: () => directory.daemonsOf(settings.dataCentre, newestPeerEncoding),
+        candidates: () => directory.relaysOf(settings.dataCentre, newestRelayVersion),
         clock,
         log,
       }),
@@ -319,8 +322,8 @@
 
   private createRelayHandler(): RelayHttpServer['handle'] {
     const { clock, log } = this.environment;
-    const mirror = (prefix: string): StoreMirror | undefined =>
-      this.isStopping ? undefined : this.relayed.mirrorForFollower(prefix);
+    const mirror = (prefix: string, isFollowed: boolean): StoreMirror | undefined =>
+      this.isStopping ? undefined : this.relayed.mirrorForFollower(prefix, isFollowed);
     const server = new RelayHttpServer({ mirror, clock, log, encode: encodeChanges });
     return (request, response) => server.handle(request, response);
   }
@@ -484,6 +487,7 @@
       dataCentre,
       state: this.isStopping ? 'leaving' : 'serving',
       encoding: newestPeerEncoding,
+      relayVersion: newestRelayVersion,
       targets: this.home.publishedTargets,
     };
   }
@@ -497,14 +501,16 @@
     );
   }
 
-  /** Reads the configuration from another source if a peer still has a newer one soon, since the own poll may be stalled. */
-  private refreshIfOlder(version: number): void {
-    if (version <= this.traffic.version || this.isRefreshScheduled) return;
-    this.isRefreshScheduled = true;
+  /** Reads the configuration from other sources if a peer still has a newer one soon, since the own poll may be stalled. */
+  private refreshIfOlder(version: number, holder: DaemonId | undefined): void {
+    const { clock, configuration } = this.environment;
+    if (version <= this.traffic.version || clock.elapsed() < this.refreshAllowedAt) return;
+    this.refreshAllowedAt = clock.elapsed() + refreshInterval;
     this.disposables.add(
-      this.environment.clock.after(refreshDelay, () => {
-        this.isRefreshScheduled = false;
-        if (version > this.traffic.version) this.configurationWatcher.refresh();
+      clock.after(refreshDelay, () => {
+        if (version <= this.traffic.version) return;
+        this.relayed.reportNewer(configuration.key, holder);
+        this.configurationWatcher.refresh();
       }),
     );
   }
--- a/src/sidecar/peer/RelayHttp.test.ts
+++ b/src/sidecar/peer/RelayHttp.test.ts
@@ -6,6 +6,7 @@
 import { expect } from 'chai';
 import { brandAs, FleetError, type DaemonId, type StoreChange } from '../../api/index.js';
 import { RevisionCompactedError } from '../../common/fleet/errors.js';
+import type { RelayPoll } from '../../common/fleet/Types.js';
 import { StoreMirror } from '../../common/fleet/StoreMirror.js';
 import { SystemClock } from '../../node/SystemClock.js';
 import { MemoryLog } from '../../testing/MemoryLog.js';
@@ -20,6 +21,12 @@
   type: 'put',
   entry: { key, value: Buffer.from(value), modRevision },
 });
+const pollOf = (after: number, wait: number, age = 0): RelayPoll => ({
+  after,
+  age,
+  wait,
+  isFollower: true,
+});
 const describeChanges = (changes: readonly StoreChange[]): string[] =>
   changes.map(
     ({ type, entry: { key, value, modRevision } }) =>
@@ -65,7 +72,7 @@
   });
 
   it('brings a snapshot across', async () => {
-    const { entries, revision, age } = await client.snapshot(relay, prefix);
+    const { entries, revision, age } = await client.snapshot(relay, prefix, signal);
     const changes = entries.map((entry): StoreChange => ({ type: 'put', entry }));
     expect(describeChanges(changes)).to.deep.equal(['put op/config=one 3']);
     expect(revision).to.equal(5);
@@ -74,9 +81,9 @@
 
   it('brings changes across that came before the poll or during it', async () => {
     mirror.add({ changes: [put(prefix, 'two', 7)], revision: 8 }, 0);
-    const first = await client.changes(relay, prefix, 5, 5_000, signal);
+    const first = await client.changes(relay, prefix, pollOf(5, 5_000), signal);
     expect(describeChanges(first.changes)).to.deep.equal(['put op/config=two 7']);
-    const poll = client.changes(relay, prefix, first.revision, 5_000, signal);
+    const poll = client.changes(relay, prefix, pollOf(first.revision, 5_000), signal);
     const removal = { key: prefix, value: new Uint8Array(), modRevision: 9 };
     clock.after(20, () => {
       mirror.add({ changes: [{ type: 'delete', entry: removal }], revision: 9 }, 0);
@@ -88,12 +95,14 @@
     mirror.add({ changes: [], revision: 9 }, 0);
     mirror.add({ changes: [put(prefix, 'two', 10)], revision: 12 }, 0);
     const revisions = [5, 6, 7, 8, 9];
-    await Promise.all(revisions.map((after) => client.changes(relay, prefix, after, 100, signal)));
+    await Promise.all(
+      revisions.map((after) => client.changes(relay, prefix, pollOf(after, 100), signal)),
+    );
     expect(encodings).to.equal(1);
   });
 
   it('ends a poll without changes after its wait', async () => {
-    const { changes, revision } = await client.changes(relay, prefix, 5, 20, signal);
+    const { changes, revision } = await client.changes(relay, prefix, pollOf(5, 20), signal);
     expect(changes).to.deep.equal([]);
     expect(revision).to.equal(5);
   });
@@ -107,7 +116,7 @@
         bytes += socket.bytesWritten;
       });
     });
-    const { changes } = await client.changes(relay, prefix, 5, 5_000, signal);
+    const { changes } = await client.changes(relay, prefix, pollOf(5, 5_000), signal);
     expect(changes[0]?.entry.value.length).to.equal(routes.join().length);
     client.dispose();
     await once(server, 'close', { signal: AbortSignal.timeout(1) }).catch(() => {});
@@ -126,31 +135,31 @@
   }[] = [
     {
       name: 'the relay does not know changes that are older than its state',
-      call: () => client.changes(relay, prefix, 4, 100, signal),
+      call: () => client.changes(relay, prefix, pollOf(4, 100), signal),
       error: RevisionCompactedError,
       text: 'later revision',
     },
     {
       name: 'the relay does not follow the prefix',
-      call: () => client.snapshot(relay, 'limpettrack/'),
+      call: () => client.snapshot(relay, 'limpettrack/', signal),
       error: FleetError,
       text: 'answered 503',
     },
     {
       name: 'the revision is no number',
-      call: () => client.changes(relay, prefix, NaN, 100, signal),
+      call: () => client.changes(relay, prefix, pollOf(NaN, 100), signal),
       error: FleetError,
       text: 'answered 400',
     },
     {
       name: 'the daemon is unknown',
-      call: () => client.snapshot(brandAs<DaemonId>('d-2'), prefix),
+      call: () => client.snapshot(brandAs<DaemonId>('d-2'), prefix, signal),
       error: FleetError,
       text: 'unknown daemon',
     },
     {
       name: 'the follower ends the poll',
-      call: () => client.changes(relay, prefix, 5, 60_000, AbortSignal.timeout(10)),
+      call: () => client.changes(relay, prefix, pollOf(5, 60_000), AbortSignal.timeout(10)),
       error: FleetError,
       text: 'did not respond',
     },
@@ -181,7 +190,7 @@
         response.writeHead(200, { 'lt-age': age });
         response.end(content);
       };
-      const failure = await client.changes(relay, prefix, 5, 100, signal).then(
+      const failure = await client.changes(relay, prefix, pollOf(5, 100), signal).then(
         () => undefined,
         (reason: unknown) => reason,
       );
--- a/src/sidecar/peer/RelayHttpClient.ts
+++ b/src/sidecar/peer/RelayHttpClient.ts
@@ -2,7 +2,7 @@
 import { FleetError, type DaemonId, type Disposable } from '../../api/index.js';
 import { RevisionCompactedError } from '../../common/fleet/errors.js';
 import type { Aged, RelayClient } from '../../common/fleet/RelayedStore.js';
-import type { StoreChanges, StoreSnapshot } from '../../common/fleet/Types.js';
+import type { RelayPoll, StoreChanges, StoreSnapshot } from '../../common/fleet/Types.js';
 import { readLimited } from '../../daemon/streams.js';
 import {
   ageHeader,
@@ -26,7 +26,7 @@
   readonly query: Readonly<Record<string, string | number>>;
   /** Milliseconds until the call fails. */
   readonly timeout: number;
-  readonly signal?: AbortSignal;
+  readonly signal: AbortSignal;
 }
 
 /** Follows the store through other daemons over HTTP/1.1. */
@@ -36,12 +36,17 @@
   /** `addressOf` returns `host:port` of a daemon, or undefined if it is unknown. */
   public constructor(private readonly addressOf: (daemon: DaemonId) => string | undefined) {}
 
-  public async snapshot(daemon: DaemonId, prefix: string): Promise<Aged<StoreSnapshot>> {
+  public async snapshot(
+    daemon: DaemonId,
+    prefix: string,
+    signal: AbortSignal,
+  ): Promise<Aged<StoreSnapshot>> {
     const { content, age } = await this.call({
       daemon,
       path: relayPaths.snapshot,
       query: { prefix },
       timeout: responseTimeout,
+      signal,
     });
     return { ...(await decodeSnapshot(content)), age };
   }
@@ -49,15 +54,20 @@
   public async changes(
     daemon: DaemonId,
     prefix: string,
-    after: number,
-    wait: number,
+    poll: RelayPoll,
     signal: AbortSignal,
   ): Promise<Aged<StoreChanges>> {
     const { content, age } = await this.call({
       daemon,
       path: relayPaths.changes,
-      query: { prefix, after, wait },
-      timeout: wait + responseTimeout,
+      query: {
+        prefix,
+        after: poll.after,
+        wait: poll.wait,
+        age: Math.round(poll.age),
+        ...(poll.isFollower ? {} : { backup: 1 }),
+      },
+      timeout: poll.wait + responseTimeout,
       signal,
     });
     return { ...(await decodeChanges(content)), age };
@@ -70,8 +80,7 @@
   private async call(call: Call): Promise<{ readonly content: Buffer; readonly age: number }> {
     const { daemon } = call;
     const origin = { step: 'fleet.relay', peer: daemon };
-    const limit = AbortSignal.timeout(call.timeout);
-    const signal = call.signal === undefined ? limit : AbortSignal.any([limit, call.signal]);
+    const signal = AbortSignal.any([AbortSignal.timeout(call.timeout), call.signal]);
     try {
       const response = await this.send(call, signal);
       const content = await readLimited(response, maxResponseBytes);
--- a/src/sidecar/peer/RelayHttpServer.ts
+++ b/src/sidecar/peer/RelayHttpServer.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { DisposableStore, type Clock, type LogSink } from '../../api/index.js';
+import type { Clock, LogSink } from '../../api/index.js';
+import { awaitNews } from '../../common/fleet/awaitNews.js';
 import { RevisionCompactedError } from '../../common/fleet/errors.js';
 import type { StoreChanges } from '../../common/fleet/Types.js';
 import type { StoreMirror } from '../../common/fleet/StoreMirror.js';
@@ -14,8 +15,8 @@
 
 /** Dependencies of `RelayHttpServer`. */
 export interface RelayHttpServerSettings {
-  /** Mirror of a prefix for a follower; undefined if this daemon does not read it or stops. */
-  readonly mirror: (prefix: string) => StoreMirror | undefined;
+  /** Mirror of a prefix for a daemon that polls or follows this one; undefined if it is not read here or this daemon stops. */
+  readonly mirror: (prefix: string, isFollowed: boolean) => StoreMirror | undefined;
   readonly clock: Clock;
   readonly log: LogSink;
   /** Encodes a response. */
@@ -42,7 +43,8 @@
   private async respond(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { pathname, searchParams } = new URL(request.url ?? '/', 'http://daemon');
     const prefix = searchParams.get('prefix') ?? '';
-    const mirror = this.settings.mirror(prefix);
+    const isFollower = !searchParams.has('backup');
+    const mirror = this.settings.mirror(prefix, isFollower);
     if (mirror?.revision === undefined) {
       this.end(response, unavailableStatus);
       return;
@@ -54,38 +56,23 @@
       return;
     }
     const after = Number(searchParams.get('after') ?? NaN);
-    const wait = Number(searchParams.get('wait') ?? NaN);
-    if (pathname !== relayPaths.changes || !Number.isInteger(after) || !(wait >= 0)) {
+    const wait = Math.min(Number(searchParams.get('wait') ?? NaN), maxWait);
+    // Followers of older builds do not tell the age of their state.
+    const age = Number(searchParams.get('age') ?? 0);
+    const isValid = Number.isInteger(after) && wait >= 0 && age >= 0;
+    if (pathname !== relayPaths.changes || !isValid) {
       this.end(response, badRequestStatus);
       return;
     }
-    await this.waitForChange(mirror, after, Math.min(wait, maxWait), response);
+    const closed = new AbortController();
+    response.once('close', () => closed.abort());
+    const poll = { after, age, wait, isFollower };
+    await awaitNews(mirror, poll, this.settings.clock, closed.signal);
     if (response.destroyed) return;
     const changes = mirror.changesAfter(after);
     this.send(response, mirror, await this.encode(prefix, changes));
   }
 
-  /** Resolves after a change, the end of the wait, or when the follower has left. */
-  private waitForChange(
-    mirror: StoreMirror,
-    after: number,
-    wait: number,
-    response: ServerResponse,
-  ): Promise<void> {
-    if (mirror.changesAfter(after).changes.length > 0) return Promise.resolve();
-    return new Promise((resolve) => {
-      const disposables = new DisposableStore();
-      const end = (): void => {
-        disposables.dispose();
-        response.off('close', end);
-        resolve();
-      };
-      disposables.add(this.settings.clock.after(wait, end));
-      disposables.add(mirror.onChange(end));
-      response.once('close', end);
-    });
-  }
-
   /** Encodes the same changes once, from whichever revisions the followers ask for them. */
   private encode(prefix: string, message: StoreChanges): Promise<Buffer> {
     const { changes, revision } = message;
--- a/src/testing/RelayedFleet.ts
+++ b/src/testing/RelayedFleet.ts
@@ -6,6 +6,7 @@
   VirtualClock,
   type DaemonId,
 } from '../common/base/index.js';
+import { awaitNews } from '../common/fleet/awaitNews.js';
 import { PrefixWatcher } from '../common/fleet/PrefixWatcher.js';
 import { RelayedStore, type RelayClient } from '../common/fleet/RelayedStore.js';
 import type { StoreMirror } from '../common/fleet/StoreMirror.js';
@@ -130,6 +131,12 @@
     this.silences += 1;
   }
 
+  /** Reads again, since another daemon has a newer state. */
+  public refreshFrom(holder: DaemonId): void {
+    this.relayed.reportNewer(followedPrefix, holder);
+    this.watcher.refresh();
+  }
+
   /** Calls the store; a call without a response fails at its timeout, whatever the store has answered. */
   private async callStore<Result extends StoreChanges | StoreSnapshot>(
     timeout: number,
@@ -202,33 +209,27 @@
 
   /** Client of the relays among these daemons. */
   public createClient(): RelayClient {
-    const mirrorOf = (id: DaemonId): StoreMirror | undefined => {
+    const mirrorOf = (id: DaemonId, isFollowed: boolean): StoreMirror | undefined => {
       const follower = this.find(id);
       return follower === undefined || follower.isFrozen
         ? undefined
-        : follower.relayed.mirrorForFollower(followedPrefix);
+        : follower.relayed.mirrorForFollower(followedPrefix, isFollowed);
     };
     const latency = this.settings.relayLatency ?? 0;
     return {
       snapshot: async (id) => {
-        const mirror = mirrorOf(id);
+        const mirror = mirrorOf(id, false);
         if (mirror?.snapshot === undefined) return this.failAfter(relayTimeout);
         await this.pass(latency);
         return { ...mirror.snapshot, age: mirror.age };
       },
-      changes: async (id, _prefix, after, wait, signal) => {
-        const mirror = mirrorOf(id);
-        if (mirror === undefined) return this.failAfter(wait + relayTimeout, signal);
+      changes: async (id, _prefix, poll, signal) => {
+        const mirror = mirrorOf(id, poll.isFollower);
+        if (mirror === undefined) return this.failAfter(poll.wait + relayTimeout, signal);
         await this.pass(latency);
-        if (mirror.changesAfter(after).changes.length === 0) {
-          await new Promise<void>((resolve) => {
-            this.clock.after(wait, resolve);
-            mirror.onChange(resolve);
-            signal.addEventListener('abort', () => resolve(), { once: true });
-          });
-        }
+        await awaitNews(mirror, poll, this.clock, signal);
         if (this.find(id)?.isFrozen === true) return this.failAfter(relayTimeout, signal);
-        return { ...mirror.changesAfter(after), age: mirror.age };
+        return { ...mirror.changesAfter(poll.after), age: mirror.age };
       },
     };
   }
