Wait for a large configuration that arrives instead of reading it again elsewhere

Late entries stood in the region without the store. Cause: a relay that is still receiving a configuration of some thousand routes (1.27 MB) looked too old to its followers. They went to the next relay and then to the store, and daemons that start read the store too, so that one change crossed the link between the regions 57 times. All machines behind it received 5 to 8.3 MB/s on a link of 5.25 MB/s for six seconds, which made every transfer, the relay's too, slower. When a daemon that had just started became the first relay, all its followers read all entries again. Class: a timeout that takes slow for dead and answers with more load on what is slow. Change: a response that arrives postpones the other sources. A relay tells its followers by 102 that it receives a newer state, and holds their polls meanwhile; a call to a relay has a limit for silence instead of for the whole response. A daemon that starts reads the configuration from a relay. A mirror that may lack deletions sends the list of keys in place of a 410.

--- a/src/common/fleet/RelayedStore.ts
+++ b/src/common/fleet/RelayedStore.ts
@@ -17,7 +17,18 @@
  * source gives no news. From then on further groups of sources are asked beside it, each `step` after the one before; the
  * last group still has a step left to answer.
  */
-const staleness = { storeWait: 0.4, outdated: 0.55, step: 0.125 } as const;
+const staleness = {
+  storeWait: 0.4,
+  outdated: 0.55,
+  step: 0.125,
+  /** Times for which the groups wait at most while a response arrives: the standbys are few, the others may be many. */
+  standbyPostponement: 0.5,
+  maxPostponement: 2,
+} as const;
+/** Milliseconds after which a process that starts asks further sources for its first state. */
+const startStep = 300;
+/** Milliseconds after which a response that still arrives counts as a transfer of which followers are told. */
+const minTransferTime = 50;
 /** Milliseconds after which further sources are asked for a change that another daemon is known to have. */
 const urgentStep = 150;
 
@@ -26,13 +37,19 @@
 
 /** Calls to the daemons that relay changes. Each throws `FleetError` if the relay does not respond in time. */
 export interface RelayClient {
-  snapshot(daemon: DaemonId, prefix: string, signal: AbortSignal): Promise<Aged<StoreSnapshot>>;
+  snapshot(
+    daemon: DaemonId,
+    prefix: string,
+    signal: AbortSignal,
+    onProgress: () => void,
+  ): Promise<Aged<StoreSnapshot>>;
   /** Throws `RevisionCompactedError` if the relay no longer knows the changes. */
   changes(
     daemon: DaemonId,
     prefix: string,
     poll: RelayPoll,
     signal: AbortSignal,
+    onProgress: () => void,
   ): Promise<Aged<StoreChanges>>;
 }
 
@@ -107,15 +124,22 @@
 
   public constructor(private readonly settings: RelayedStoreSettings) {}
 
-  /** Reads all entries from the store at first; later returns those that `changes` has read in place of the changes. */
+  /** Reads all entries at first; later returns those that `changes` has read in place of the changes. */
   public async snapshot(prefix: string): Promise<StoreSnapshot> {
-    const { mirror } = this.stateOf(prefix);
-    // A process that has just started knows no revision by which it could tell that a relay is behind.
+    const state = this.stateOf(prefix);
+    const { mirror, selector } = state;
     if (mirror.snapshot !== undefined) return mirror.snapshot;
-    const snapshot = await this.settings.store.snapshot(prefix);
-    this.recordSource(prefix, { type: 'store' });
-    mirror.replace(snapshot, 0);
-    return snapshot;
+    const { signal } = new AbortController();
+    const { contender, result } = await raceStages(
+      this.createStages(state, selector.choose(), { firstDelay: startStep, step: startStep }),
+      (source, cancelled, onProgress) =>
+        this.readFirst(prefix, source, cancelled, this.trackProgress(state, onProgress)),
+      this.settings.clock,
+      signal,
+    );
+    this.recordSource(prefix, contender);
+    mirror.replace(result, result.age);
+    return result;
   }
 
   /**
@@ -136,7 +160,8 @@
     state.isUrgent = false;
     const { contender, overtaken, result } = await raceStages(
       stages,
-      (source, cancelled) => this.askSource(poll, source, cancelled),
+      (source, cancelled, onProgress) =>
+        this.askSource(poll, source, cancelled, this.trackProgress(state, onProgress)),
       this.settings.clock,
       signal,
     );
@@ -148,8 +173,8 @@
     this.recordSource(prefix, contender);
     state.previousAge = mirror.age;
     if (result.type === 'changes') {
-      mirror.add(result, result.age);
-      return result;
+      const changes = mirror.add(result, result.age);
+      return { changes, revision: result.revision };
     }
     mirror.replace(result, result.age);
     throw new RevisionCompactedError('read all entries instead of the changes', 'not-applied', {
@@ -215,27 +240,90 @@
   }
 
   private stagesOf({ state, primary, isUrgent }: Poll): readonly RaceStage<ChangeSource>[] {
-    const { mirror, selector, maxStaleness, holder } = state;
+    const { mirror, maxStaleness, holder } = state;
+    if (!isUrgent) {
+      const firstDelay = staleness.outdated * maxStaleness - mirror.age;
+      const step = staleness.step * maxStaleness;
+      return this.createStages(state, primary, { firstDelay, step });
+    }
+    const [first, ...others] = this.createStages(state, primary, {
+      firstDelay: 0,
+      step: urgentStep,
+    });
     const holders: readonly ChangeSource[] =
-      isUrgent && holder !== undefined ? [{ type: 'relay', daemon: holder }] : [];
-    const firstDelay = isUrgent ? 0 : staleness.outdated * maxStaleness - mirror.age;
-    const step = isUrgent ? urgentStep : staleness.step * maxStaleness;
+      holder === undefined ? [] : [{ type: 'relay', daemon: holder }];
+    return [{ ...first!, contenders: () => [primary, ...holders] }, ...others];
+  }
+
+  /** `primary` and then its backups, the first after `firstDelay` milliseconds and the others each `step` later. */
+  private createStages(
+    { selector, maxStaleness }: PrefixState,
+    primary: ChangeSource,
+    { firstDelay, step }: { readonly firstDelay: number; readonly step: number },
+  ): readonly RaceStage<ChangeSource>[] {
+    const [standbys, ...others] = selector.backups(primary);
+    const { standbyPostponement, maxPostponement } = staleness;
     return [
-      { delay: 0, contenders: () => [primary, ...holders] },
-      ...selector.backups(primary).map((contenders, index) => ({
-        delay: Math.max(0, firstDelay + index * step),
+      { delay: 0, maxPostponement: 0, contenders: () => [primary] },
+      {
+        delay: Math.max(0, firstDelay),
+        maxPostponement: standbyPostponement * maxStaleness,
+        contenders: standbys!,
+      },
+      ...others.map((contenders, index) => ({
+        delay: Math.max(0, firstDelay + (index + 1) * step),
+        maxPostponement: maxPostponement * maxStaleness,
         contenders,
       })),
     ];
   }
 
+  /** Passes on that a response arrives, to the race and after a moment to the daemons that poll this one. */
+  private trackProgress({ mirror }: PrefixState, onProgress: () => void): () => void {
+    const { clock } = this.settings;
+    let firstAt: number | undefined;
+    return () => {
+      onProgress();
+      firstAt ??= clock.elapsed();
+      if (clock.elapsed() - firstAt >= minTransferTime) mirror.recordProgress();
+    };
+  }
+
+  /** Reads all entries at the start of this process. */
+  private async readFirst(
+    prefix: string,
+    source: ChangeSource,
+    signal: AbortSignal,
+    onProgress: () => void,
+  ): Promise<Aged<StoreSnapshot>> {
+    const snapshot = await this.readSnapshot(prefix, source, signal, onProgress);
+    if (snapshot.age <= this.stateOf(prefix).maxStaleness) return snapshot;
+    throw new FleetError(`the state is of ${Math.round(snapshot.age)} ms ago`, {
+      step: 'fleet.relay',
+      peer: nameOf(source),
+    });
+  }
+
+  private async readSnapshot(
+    prefix: string,
+    source: ChangeSource,
+    signal: AbortSignal,
+    onProgress: () => void,
+  ): Promise<Aged<StoreSnapshot>> {
+    const { store, relays } = this.settings;
+    return source.type === 'store'
+      ? { ...(await store.snapshot(prefix, signal, onProgress)), age: 0 }
+      : relays.snapshot(source.daemon, prefix, signal, onProgress);
+  }
+
   private async askSource(
     poll: Poll,
     source: ChangeSource,
     signal: AbortSignal,
+    onProgress: () => void,
   ): Promise<PollResult> {
     try {
-      const result = await this.readSource(poll, source, signal);
+      const result = await this.readSource(poll, source, signal, onProgress);
       this.checkNews(poll, source, result);
       return result;
     } catch (error) {
@@ -252,17 +340,13 @@
     poll: Poll,
     source: ChangeSource,
     signal: AbortSignal,
+    onProgress: () => void,
   ): Promise<PollResult> {
-    const { store, relays } = this.settings;
-    const { prefix } = poll;
     try {
-      return { type: 'changes', ...(await this.pollSource(poll, source, signal)) };
+      return { type: 'changes', ...(await this.pollSource(poll, source, signal, onProgress)) };
     } catch (error) {
       if (!(error instanceof RevisionCompactedError)) throw error;
-      const snapshot =
-        source.type === 'store'
-          ? { ...(await store.snapshot(prefix, signal)), age: 0 }
-          : await relays.snapshot(source.daemon, prefix, signal);
+      const snapshot = await this.readSnapshot(poll.prefix, source, signal, onProgress);
       return { type: 'snapshot', ...snapshot };
     }
   }
@@ -271,16 +355,18 @@
     { prefix, state: { mirror, maxStaleness }, after, wait, primary, isUrgent }: Poll,
     source: ChangeSource,
     signal: AbortSignal,
+    onProgress: () => void,
   ): Promise<Aged<StoreChanges>> {
     const { store, relays } = this.settings;
     const isPrimary = source === primary;
     if (source.type === 'store') {
       const held = isPrimary && !isUrgent ? Math.round(staleness.storeWait * maxStaleness) : 0;
-      return { ...(await store.changes(prefix, after, Math.min(wait, held), signal)), age: 0 };
+      const changes = await store.changes(prefix, after, Math.min(wait, held), signal, onProgress);
+      return { ...changes, age: 0 };
     }
     const held = Math.round(staleness.outdated * maxStaleness);
     const poll = { after, age: mirror.age, wait: Math.min(wait, held), isFollower: isPrimary };
-    return relays.changes(source.daemon, prefix, poll, signal);
+    return relays.changes(source.daemon, prefix, poll, signal, onProgress);
   }
 
   /** Throws `FleetError` if a response neither brings anything newer nor confirms that there is nothing. */
--- a/src/common/fleet/StoreMirror.ts
+++ b/src/common/fleet/StoreMirror.ts
@@ -1,6 +1,5 @@
 import { Emitter, type Clock, type Disposable } from '../base/index.js';
 import type { StoreChange } from '../services/Types.js';
-import { RevisionCompactedError } from './errors.js';
 import type { StoreChanges, StoreSnapshot } from './Types.js';
 
 /** Deleted keys that are kept, so that daemons that follow this mirror learn of the deletions. */
@@ -21,6 +20,13 @@
   /** Fires after each successful read, with or without changes. */
   public readonly onConfirm = this.confirmEmitter.event;
 
+  private readonly progressEmitter = new Emitter<void>();
+
+  /** Fires while a newer state arrives. */
+  public readonly onProgress = this.progressEmitter.event;
+
+  private lastProgressAt = -Infinity;
+
   private known: number | undefined;
 
   /** Revision before which changes may be missing here. */
@@ -47,6 +53,17 @@
     return this.lastConfirmedAt;
   }
 
+  /** Monotonic time at which a part of a newer state last arrived; -Infinity if none has. */
+  public get progressedAt(): number {
+    return this.lastProgressAt;
+  }
+
+  /** Records that a part of a newer state has arrived. */
+  public recordProgress(): void {
+    this.lastProgressAt = this.clock.elapsed();
+    this.progressEmitter.fire();
+  }
+
   /** Replaces all entries by those that the store had `age` milliseconds ago, unless newer changes are known. */
   public replace({ entries, revision }: StoreSnapshot, age: number): void {
     if (this.known !== undefined && revision < this.known) return;
@@ -61,14 +78,19 @@
     this.confirmEmitter.fire();
   }
 
-  /** Adds changes that follow `revision`, confirmed by the store `age` milliseconds ago. */
-  public add({ changes, revision }: StoreChanges, age: number): void {
-    if (this.known === undefined) return;
-    changes.forEach((change) => this.addChange(change));
+  /**
+   * Adds changes that follow `revision`, confirmed by the store `age` milliseconds ago. Returns them with the deletions that
+   * only the list of keys shows.
+   */
+  public add({ changes, revision, keys }: StoreChanges, age: number): readonly StoreChange[] {
+    if (this.known === undefined) return [];
+    const all = keys === undefined ? changes : [...this.missing(keys, revision), ...changes];
+    all.forEach((change) => this.addChange(change));
     this.known = Math.max(this.known, revision);
     this.confirm(age);
-    if (changes.length > 0) this.changeEmitter.fire();
+    if (all.length > 0) this.changeEmitter.fire();
     this.confirmEmitter.fire();
+    return all;
   }
 
   /** All entries; undefined before the first snapshot. */
@@ -81,23 +103,38 @@
   }
 
   /**
-   * Last change of each key after a revision, oldest first. Throws `RevisionCompactedError` if deletions after that
-   * revision may be missing.
+   * Last change of each key after a revision, oldest first, with a list of all keys if deletions after that revision may be
+   * missing.
    */
   public changesAfter(revision: number): StoreChanges {
-    if (this.known === undefined || revision < this.compacted) {
-      throw new RevisionCompactedError('the mirror starts at a later revision', 'not-applied', {
-        step: 'fleet.mirror',
-      });
-    }
     const changes = [...this.latest.values()].filter(({ entry }) => entry.modRevision > revision);
     changes.sort((left, right) => left.entry.modRevision - right.entry.modRevision);
-    return { changes, revision: this.known };
+    const known = this.known ?? 0;
+    if (revision >= this.compacted) return { changes, revision: known };
+    return { changes, revision: known, keys: [...this.presentKeys] };
   }
 
   public dispose(): void {
     this.changeEmitter.dispose();
     this.confirmEmitter.dispose();
+    this.progressEmitter.dispose();
+  }
+
+  private get presentKeys(): readonly string[] {
+    return [...this.latest.values()].flatMap(({ type, entry }) =>
+      type === 'put' ? [entry.key] : [],
+    );
+  }
+
+  /** Deletions of the known keys that are not among `keys`. */
+  private missing(keys: readonly string[], revision: number): readonly StoreChange[] {
+    const present = new Set(keys);
+    return this.presentKeys
+      .filter((key) => !present.has(key) && this.latest.get(key)!.entry.modRevision <= revision)
+      .map((key) => ({
+        type: 'delete',
+        entry: { key, value: new Uint8Array(), modRevision: revision },
+      }));
   }
 
   private addChange(change: StoreChange): void {
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -65,6 +65,8 @@
 export interface StoreChanges {
   readonly changes: readonly StoreChange[];
   readonly revision: number;
+  /** All keys that exist, if some deletions are not among the changes. */
+  readonly keys?: readonly string[];
 }
 
 /** Poll of a daemon that follows another one. */
@@ -83,10 +85,16 @@
 export interface PolledStore
   extends Pick<Store, 'get' | 'transact' | 'grantLease' | 'keepAlive' | 'revokeLease'>, Disposable {
   /** Reads all entries under a prefix. */
-  snapshot(prefix: string, signal?: AbortSignal): Promise<StoreSnapshot>;
+  snapshot(prefix: string, signal?: AbortSignal, onProgress?: () => void): Promise<StoreSnapshot>;
   /**
-   * Waits up to `wait` milliseconds for changes after a revision.
+   * Waits up to `wait` milliseconds for changes after a revision; calls `onProgress` while a response arrives.
    * Throws `RevisionCompactedError` if the store has compacted them.
    */
-  changes(prefix: string, after: number, wait: number, signal: AbortSignal): Promise<StoreChanges>;
+  changes(
+    prefix: string,
+    after: number,
+    wait: number,
+    signal: AbortSignal,
+    onProgress?: () => void,
+  ): Promise<StoreChanges>;
 }
--- a/src/common/fleet/awaitNews.ts
+++ b/src/common/fleet/awaitNews.ts
@@ -4,10 +4,14 @@
 
 /** Milliseconds by which a confirmation must be newer than the follower's; smaller differences are transit times. */
 const minGain = 200;
+/** Milliseconds after a part of a newer state in which the next part should arrive. */
+const progressInterval = 300;
+/** Milliseconds beyond its wait for which a poll is held at most while a newer state arrives. */
+const maxExtension = 4_000;
 
 /**
  * Holds the poll of a follower until the mirror has a change for it, the store has confirmed the mirror more recently
- * than the follower's state, the wait is over, or `signal` is aborted.
+ * than the follower's state, the wait is over, or `signal` is aborted. It is held longer while a newer state arrives.
  */
 export function awaitNews(
   mirror: StoreMirror,
@@ -19,23 +23,25 @@
   const hasNews = (): boolean =>
     mirror.changesAfter(after).changes.length > 0 || mirror.confirmedAt - confirmedAt >= minGain;
   if (hasNews() || signal.aborted) return Promise.resolve();
-  return new Promise((resolve, reject) => {
+  return new Promise((resolve) => {
     const disposables = new DisposableStore();
+    const latest = clock.elapsed() + wait + maxExtension;
     const end = (): void => {
       disposables.dispose();
       signal.removeEventListener('abort', end);
       resolve();
     };
-    const check = (): void => {
-      try {
-        if (hasNews()) end();
-      } catch (error) {
-        end();
-        reject(error);
-      }
+    const endUnlessArriving = (): void => {
+      const delay = Math.min(latest, mirror.progressedAt + progressInterval) - clock.elapsed();
+      if (delay > 0) disposables.add(clock.after(delay, endUnlessArriving));
+      else end();
     };
-    disposables.add(clock.after(wait, end));
-    disposables.add(mirror.onConfirm(check));
+    disposables.add(clock.after(wait, endUnlessArriving));
+    disposables.add(
+      mirror.onConfirm(() => {
+        if (hasNews()) end();
+      }),
+    );
     signal.addEventListener('abort', end, { once: true });
   });
 }
--- a/src/common/fleet/raceStages.ts
+++ b/src/common/fleet/raceStages.ts
@@ -4,10 +4,22 @@
 export interface RaceStage<Contender> {
   /** Milliseconds after the start of the race; sooner if all contenders before have failed. */
   readonly delay: number;
+  /** Milliseconds by which the stage starts later at most while a contender receives its response. */
+  readonly maxPostponement: number;
   /** Called when the stage starts. */
   readonly contenders: () => readonly Contender[];
 }
 
+/** Runs one contender; `onProgress` tells that parts of its response arrive. */
+export type ContenderRun<Contender, Result> = (
+  contender: Contender,
+  signal: AbortSignal,
+  onProgress: () => void,
+) => Promise<Result>;
+
+/** Milliseconds after a part of a response in which the next part should arrive. */
+const progressInterval = 300;
+
 /** First success of a race. */
 export interface RaceWin<Contender, Result> {
   readonly contender: Contender;
@@ -28,6 +40,12 @@
 
   private hasEnded = false;
 
+  private progressedAt = -Infinity;
+
+  private readonly recordProgress = (): void => {
+    this.progressedAt = this.clock.elapsed();
+  };
+
   private readonly startedAt: number;
 
   private next = 0;
@@ -43,7 +61,7 @@
 
   public constructor(
     private readonly stages: readonly RaceStage<Contender>[],
-    private readonly run: (contender: Contender, signal: AbortSignal) => Promise<Result>,
+    private readonly run: ContenderRun<Contender, Result>,
     private readonly clock: Clock,
     private readonly signal: AbortSignal,
     private readonly resolve: (win: RaceWin<Contender, Result>) => void,
@@ -75,16 +93,24 @@
       return;
     }
     const following = this.stages[this.next];
-    if (following === undefined) return;
-    const delay = this.startedAt + following.delay - this.clock.elapsed();
-    this.timer = this.clock.after(Math.max(0, delay), () => this.startNextStage());
+    if (following !== undefined) this.schedule(following, this.startedAt + following.delay);
+  }
+
+  /** Starts a stage at a time, or later while a contender receives its response: more transfers would slow that one down. */
+  private schedule(stage: RaceStage<Contender>, time: number): void {
+    this.timer = this.clock.after(Math.max(0, time - this.clock.elapsed()), () => {
+      const latest = this.startedAt + stage.delay + stage.maxPostponement;
+      const postponed = Math.min(latest, this.progressedAt + progressInterval);
+      if (postponed > this.clock.elapsed()) this.schedule(stage, postponed);
+      else this.startNextStage();
+    });
   }
 
   private async start(contender: Contender, stage: number): Promise<void> {
     const abort = new AbortController();
     this.running.set(contender, { stage, abort });
     try {
-      const result = await this.run(contender, abort.signal);
+      const result = await this.run(contender, abort.signal, this.recordProgress);
       if (this.hasEnded) return;
       const overtaken = [...this.running].flatMap(([other, runner]) =>
         runner.stage < stage ? [other] : [],
@@ -114,12 +140,13 @@
 }
 
 /**
- * Runs the contenders of one stage after the other until one succeeds, and aborts the others then. Rejects with the first
+ * Runs the contenders of one stage after the other until one succeeds, and aborts the others then. A stage is postponed
+ * while a contender receives its response. Rejects with the first
  * error if all have failed, and at once if `signal` is aborted.
  */
 export function raceStages<Contender, Result>(
   stages: readonly RaceStage<Contender>[],
-  run: (contender: Contender, signal: AbortSignal) => Promise<Result>,
+  run: ContenderRun<Contender, Result>,
   clock: Clock,
   signal: AbortSignal,
 ): Promise<RaceWin<Contender, Result>> {
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -78,6 +78,8 @@
 const refreshDelay = 400;
 /** Milliseconds between reads for a newer configuration, which may be gone from the store. */
 const refreshInterval = 1_500;
+/** Milliseconds for which a daemon that starts waits for the fleet before it reads the configuration. */
+const maxFleetWait = 500;
 /** Maximum age in the metrics, in milliseconds; before the first read it is infinite. */
 const maxReportedAge = 3_600_000;
 /** Maximum milliseconds for removing the own record from the store at the end of a stop. */
@@ -246,8 +248,8 @@
     const { settings } = this;
     await this.homeServer.listen(settings.peer);
     await this.callerServer.listen(settings.callers);
-    this.configurationWatcher.start();
     this.fleetWatcher.start();
+    this.startConfigurationWatcher();
     this.crashGuard.start();
     this.publish();
     this.schedulePrune();
@@ -381,6 +383,17 @@
     });
   }
 
+  /** Starts after the first snapshot of the fleet, which tells the daemons from which the configuration can be read. */
+  private startConfigurationWatcher(): void {
+    const disposables = this.disposables.add(new DisposableStore());
+    const start = (): void => {
+      disposables.dispose();
+      this.configurationWatcher.start();
+    };
+    disposables.add(this.fleetWatcher.onSnapshot(start));
+    disposables.add(this.environment.clock.after(maxFleetWait, start));
+  }
+
   private retryLimits(): FleetRetryLimits {
     const { retryRatio: ratio, retrySlack: slack, retryWindow } = this.settings;
     return { ratio, slack, window: Math.ceil(retryWindow / millisecondsPerSecond) };
--- a/src/sidecar/peer/RelayHttpClient.ts
+++ b/src/sidecar/peer/RelayHttpClient.ts
@@ -15,6 +15,8 @@
 
 /** Milliseconds beyond the wait after which a daemon of this data centre does not respond. */
 const responseTimeout = 500;
+/** Milliseconds beyond the timeout after which a response that still arrives is given up. */
+const maxTransferTime = 15_000;
 /** Milliseconds for which an idle connection is kept; shorter than `HomeServer` keeps it. */
 const idleTimeout = 20_000;
 /** Maximum bytes of a compressed response. */
@@ -24,9 +26,11 @@
   readonly daemon: DaemonId;
   readonly path: string;
   readonly query: Readonly<Record<string, string | number>>;
-  /** Milliseconds until the call fails. */
+  /** Milliseconds without a sign of life until the call fails. */
   readonly timeout: number;
   readonly signal: AbortSignal;
+  /** Called when the relay says that it receives a newer state, and for each part of its response. */
+  readonly onProgress: () => void;
 }
 
 /** Follows the store through other daemons over HTTP/1.1. */
@@ -40,6 +44,7 @@
     daemon: DaemonId,
     prefix: string,
     signal: AbortSignal,
+    onProgress: () => void,
   ): Promise<Aged<StoreSnapshot>> {
     const { content, age } = await this.call({
       daemon,
@@ -47,6 +52,7 @@
       query: { prefix },
       timeout: responseTimeout,
       signal,
+      onProgress,
     });
     return { ...(await decodeSnapshot(content)), age };
   }
@@ -56,6 +62,7 @@
     prefix: string,
     poll: RelayPoll,
     signal: AbortSignal,
+    onProgress: () => void,
   ): Promise<Aged<StoreChanges>> {
     const { content, age } = await this.call({
       daemon,
@@ -65,10 +72,12 @@
         after: poll.after,
         wait: poll.wait,
         age: Math.round(poll.age),
+        keys: 1,
         ...(poll.isFollower ? {} : { backup: 1 }),
       },
       timeout: poll.wait + responseTimeout,
       signal,
+      onProgress,
     });
     return { ...(await decodeChanges(content)), age };
   }
@@ -80,10 +89,19 @@
   private async call(call: Call): Promise<{ readonly content: Buffer; readonly age: number }> {
     const { daemon } = call;
     const origin = { step: 'fleet.relay', peer: daemon };
-    const signal = AbortSignal.any([AbortSignal.timeout(call.timeout), call.signal]);
+    const silence = new AbortController();
+    const end = (): void => silence.abort(new Error('no sign of life of the relay'));
+    let timer = setTimeout(end, call.timeout);
+    const recordProgress = (): void => {
+      clearTimeout(timer);
+      timer = setTimeout(end, responseTimeout);
+      call.onProgress();
+    };
+    const limit = AbortSignal.timeout(call.timeout + maxTransferTime);
+    const signal = AbortSignal.any([limit, silence.signal, call.signal]);
     try {
-      const response = await this.send(call, signal);
-      const content = await readLimited(response, maxResponseBytes);
+      const response = await this.send(call, signal, recordProgress);
+      const content = await readLimited(response, maxResponseBytes, recordProgress);
       if (response.statusCode === compactedStatus) {
         throw new RevisionCompactedError(
           'the relay starts at a later revision',
@@ -99,10 +117,16 @@
     } catch (cause) {
       if (cause instanceof FleetError) throw cause;
       throw new FleetError('the relay did not respond', { ...origin, cause });
+    } finally {
+      clearTimeout(timer);
     }
   }
 
-  private send({ daemon, path, query }: Call, signal: AbortSignal): Promise<IncomingMessage> {
+  private send(
+    { daemon, path, query }: Call,
+    signal: AbortSignal,
+    onProgress: () => void,
+  ): Promise<IncomingMessage> {
     const address = this.addressOf(daemon);
     if (address === undefined) throw new FleetError('unknown daemon', { step: 'fleet.relay' });
     const [host, port] = address.split(/:(?=\d+$)/);
@@ -118,6 +142,7 @@
         signal,
       });
       request.setNoDelay(true);
+      request.on('information', onProgress);
       request.once('response', resolve);
       request.once('error', reject);
       request.end();
--- a/src/sidecar/peer/RelayHttpServer.ts
+++ b/src/sidecar/peer/RelayHttpServer.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock, LogSink } from '../../api/index.js';
 import { awaitNews } from '../../common/fleet/awaitNews.js';
-import { RevisionCompactedError } from '../../common/fleet/errors.js';
 import type { StoreChanges } from '../../common/fleet/Types.js';
 import type { StoreMirror } from '../../common/fleet/StoreMirror.js';
 import { ageHeader, compactedStatus, relayPaths, toChanges } from './relayMessages.js';
@@ -10,6 +9,8 @@
 const maxWait = 10_000;
 /** Encoded responses that are kept, since all followers ask for the same changes. */
 const maxCached = 4;
+/** Milliseconds between two messages to a follower that a newer state arrives. */
+const progressInterval = 100;
 const unavailableStatus = 503;
 const badRequestStatus = 400;
 
@@ -33,10 +34,9 @@
   public handle(request: IncomingMessage, response: ServerResponse): void {
     request.resume();
     this.respond(request, response).catch((error: unknown) => {
-      const isCompacted = error instanceof RevisionCompactedError;
-      if (!isCompacted) this.logFailure(error);
+      this.logFailure(error);
       if (response.headersSent) response.destroy();
-      else this.end(response, isCompacted ? compactedStatus : unavailableStatus);
+      else this.end(response, unavailableStatus);
     });
   }
 
@@ -67,16 +67,33 @@
     const closed = new AbortController();
     response.once('close', () => closed.abort());
     const poll = { after, age, wait, isFollower };
+    const progress = mirror.onProgress(this.createProgressListener(response));
     await awaitNews(mirror, poll, this.settings.clock, closed.signal);
+    progress.dispose();
     if (response.destroyed) return;
     const changes = mirror.changesAfter(after);
-    this.send(response, mirror, await this.encode(prefix, changes));
+    // Followers of older builds know no lists of keys and read all entries instead.
+    const isCompacted = changes.keys !== undefined && !searchParams.has('keys');
+    if (isCompacted) this.end(response, compactedStatus);
+    else this.send(response, mirror, await this.encode(prefix, changes));
+  }
+
+  /** Tells a follower now and then that a newer state arrives, so that it does not look for another source. */
+  private createProgressListener(response: ServerResponse): () => void {
+    const { clock } = this.settings;
+    let toldAt = -Infinity;
+    return () => {
+      if (clock.elapsed() - toldAt < progressInterval) return;
+      toldAt = clock.elapsed();
+      response.writeProcessing();
+    };
   }
 
   /** Encodes the same changes once, from whichever revisions the followers ask for them. */
   private encode(prefix: string, message: StoreChanges): Promise<Buffer> {
-    const { changes, revision } = message;
-    const key = [prefix, revision, ...changes.map(({ entry }) => entry.modRevision)].join(' ');
+    const { changes, revision, keys } = message;
+    const revisions = changes.map(({ entry }) => entry.modRevision);
+    const key = [prefix, revision, keys === undefined ? '' : 'keys', ...revisions].join(' ');
     let content = this.cache.get(key);
     if (content === undefined) {
       content = this.settings.encode(message);
--- a/src/sidecar/peer/relayMessages.ts
+++ b/src/sidecar/peer/relayMessages.ts
@@ -25,16 +25,18 @@
 interface EncodedChanges {
   readonly revision: number;
   readonly changes: readonly EncodedChange[];
+  readonly keys?: readonly string[];
 }
 
 /** Encodes changes as compressed MessagePack. */
-export function encodeChanges({ changes, revision }: StoreChanges): Promise<Buffer> {
+export function encodeChanges({ changes, revision, keys }: StoreChanges): Promise<Buffer> {
   const rows = changes.map(({ type, entry }): EncodedChange => [
     entry.key,
     entry.modRevision,
     type === 'put' ? entry.value : null,
   ]);
-  const content = encode({ revision, changes: rows } satisfies EncodedChanges);
+  const message: EncodedChanges = { revision, changes: rows, ...(keys && { keys }) };
+  const content = encode(message);
   return compress(content, { level: constants.Z_BEST_SPEED });
 }
 
@@ -50,15 +52,21 @@
   return typeof key === 'string' && Number.isInteger(revision) && hasContent;
 }
 
+function isKeyList(value: unknown): value is readonly string[] {
+  return Array.isArray(value) && value.every((key) => typeof key === 'string');
+}
+
 /** Decodes changes; throws `RangeError` if they are invalid or too large. */
 export async function decodeChanges(content: Buffer): Promise<StoreChanges> {
   const value = decode(await decompress(content, { maxOutputLength: maxContentBytes }));
-  const { revision, changes } = (value ?? {}) as Partial<EncodedChanges>;
+  const { revision, changes, keys } = (value ?? {}) as Partial<EncodedChanges>;
   if (!Number.isInteger(revision) || !Array.isArray(changes) || !changes.every(isChange)) {
     throw new RangeError('invalid message of a relay');
   }
+  if (keys !== undefined && !isKeyList(keys)) throw new RangeError('invalid keys of a relay');
   return {
     revision: revision as number,
+    ...(keys && { keys }),
     changes: changes.map(([key, modRevision, bytes]): StoreChange => {
       const entry = { key, modRevision, value: bytes ?? new Uint8Array() };
       return { type: bytes === null ? 'delete' : 'put', entry };
--- a/src/testing/RelayedFleet.ts
+++ b/src/testing/RelayedFleet.ts
@@ -44,11 +44,13 @@
     bytes: number,
     pass: (duration: number) => Promise<void>,
     signal?: AbortSignal,
+    onProgress: () => void = () => {},
   ): Promise<void> {
     this.count += 1;
     this.active += 1;
     for (let left = bytes; left > 0 && signal?.aborted !== true;) {
       await pass(transferStep);
+      onProgress();
       left -= (this.capacity * transferStep) / this.active;
     }
     this.active -= 1;
@@ -93,9 +95,15 @@
       self: id,
       maxStaleness: () => settings.maxStaleness,
       store: {
-        snapshot: (of) => this.callStore(storeTimeout, () => store.snapshot(of)),
-        changes: (of, after, wait, signal) =>
-          this.callStore(wait + storeTimeout, () => store.changes(of, after, wait, signal), signal),
+        snapshot: (of, signal, onProgress) =>
+          this.callStore(storeTimeout, () => store.snapshot(of), signal, onProgress),
+        changes: (of, after, wait, signal, onProgress) =>
+          this.callStore(
+            wait + storeTimeout,
+            () => store.changes(of, after, wait, signal),
+            signal,
+            onProgress,
+          ),
       },
       relays: fleet.createClient(),
       candidates: () => fleet.ids,
@@ -142,6 +150,7 @@
     timeout: number,
     call: () => Promise<Result>,
     signal?: AbortSignal,
+    onProgress?: () => void,
   ): Promise<Result> {
     const { silences } = this;
     const { settings } = this.fleet;
@@ -157,7 +166,8 @@
     if (isCut) return failure;
     const entries = 'entries' in result ? result.entries : result.changes.map(({ entry }) => entry);
     const bytes = entries.reduce((sum, { value }) => sum + value.length, 0);
-    if (bytes > 0) await settings.link?.transfer(bytes, (time) => this.fleet.pass(time), signal);
+    const pass = (time: number): Promise<void> => this.fleet.pass(time);
+    if (bytes > 0) await settings.link?.transfer(bytes, pass, signal, onProgress);
     return result;
   }
 }
@@ -211,23 +221,26 @@
   public createClient(): RelayClient {
     const mirrorOf = (id: DaemonId, isFollowed: boolean): StoreMirror | undefined => {
       const follower = this.find(id);
-      return follower === undefined || follower.isFrozen
-        ? undefined
-        : follower.relayed.mirrorForFollower(followedPrefix, isFollowed);
+      if (follower === undefined || follower.isFrozen) return undefined;
+      return follower.relayed.mirrorForFollower(followedPrefix, isFollowed);
     };
     const latency = this.settings.relayLatency ?? 0;
     return {
       snapshot: async (id) => {
         const mirror = mirrorOf(id, false);
-        if (mirror?.snapshot === undefined) return this.failAfter(relayTimeout);
+        if (mirror === undefined) return this.failAfter(relayTimeout);
         await this.pass(latency);
+        if (mirror.snapshot === undefined) throw new FleetError('status 503', { step: 'test' });
         return { ...mirror.snapshot, age: mirror.age };
       },
-      changes: async (id, _prefix, poll, signal) => {
+      changes: async (id, _prefix, poll, signal, onProgress) => {
         const mirror = mirrorOf(id, poll.isFollower);
         if (mirror === undefined) return this.failAfter(poll.wait + relayTimeout, signal);
         await this.pass(latency);
+        if (mirror.revision === undefined) throw new FleetError('status 503', { step: 'test' });
+        const progress = mirror.onProgress(onProgress);
         await awaitNews(mirror, poll, this.clock, signal);
+        progress.dispose();
         if (this.find(id)?.isFrozen === true) return this.failAfter(relayTimeout, signal);
         return { ...mirror.changesAfter(poll.after), age: mirror.age };
       },
