--- a/src/common/fleet/Registration.test.ts
+++ b/src/common/fleet/Registration.test.ts
@@ -71,6 +71,32 @@
     expect(store.getText(key)).to.equal('one');
   });
 
+  it('writes its key again within two seconds after the store came back from a copy without it, whose lease number is given out again', async () => {
+    const { clock, store, registration } = create();
+    const copy = store.copy();
+    registration.publish('one');
+    await clock.advanceAsync(10_000);
+    store.restore(copy);
+    // Another daemon gets the same lease number.
+    const lease = await store.grantLease(60);
+    store.put('limpettrack/daemons/d-2', 'other', lease);
+    await clock.advanceAsync(2_400);
+    expect(store.getText(key)).to.equal('one');
+    expect(store.getText('limpettrack/daemons/d-2')).to.equal('other');
+  });
+
+  it('does not remove the key of another daemon when it stops, whose lease has the number of its own', async () => {
+    const { clock, store, registration } = create();
+    const copy = store.copy();
+    registration.publish('one');
+    await clock.advanceAsync(100);
+    store.restore(copy);
+    const lease = await store.grantLease(60);
+    store.put('limpettrack/daemons/d-2', 'other', lease);
+    await registration.withdraw();
+    expect(store.getText('limpettrack/daemons/d-2')).to.equal('other');
+  });
+
   it('replaces the key of its own earlier incarnation', async () => {
     const { clock, store, registration } = create();
     store.put(key, 'earlier');
--- a/src/testing/FakePolledStore.ts
+++ b/src/testing/FakePolledStore.ts
@@ -29,6 +29,14 @@
   isUnresponsive: boolean;
 }
 
+/** Older copy of the store's content. */
+export interface FakeStoreCopy {
+  readonly entries: ReadonlyMap<string, LeasedEntry>;
+  readonly leases: ReadonlyMap<string, { readonly durationMs: number }>;
+  readonly revision: number;
+  readonly nextLease: number;
+}
+
 /** In-memory store for tests with conditional writes, leases, polled changes and fault injection. */
 export class FakePolledStore implements PolledStore {
   public readonly faults: FakeStoreFaults = {
@@ -52,6 +60,8 @@
 
   private nextLease = 1;
 
+  private currentEpoch = 1;
+
   private waiters = new Set<() => void>();
 
   public constructor(private readonly clock: Clock) {}
@@ -61,6 +71,31 @@
     return this.revision;
   }
 
+  /** Rises each time the store comes back from an older copy. */
+  public get epoch(): number {
+    return this.currentEpoch;
+  }
+
+  /** Copy of the content for `restore`. */
+  public copy(): FakeStoreCopy {
+    const { revision, nextLease } = this;
+    return { entries: new Map(this.entries), leases: new Map(this.leases), revision, nextLease };
+  }
+
+  /** Goes back to an older copy: later changes and leases are gone, and their numbers are given out again. */
+  public restore({ entries, leases, revision, nextLease }: FakeStoreCopy): void {
+    this.currentEpoch += 1;
+    this.entries.clear();
+    entries.forEach((entry, key) => this.entries.set(key, entry));
+    this.leases.clear();
+    leases.forEach(({ durationMs }, lease) => {
+      this.leases.set(lease, { durationMs, expiresAt: this.clock.elapsed() + durationMs });
+    });
+    this.revision = revision;
+    this.nextLease = nextLease;
+    this.compact();
+  }
+
   /** Value of a key decoded as UTF-8, or `undefined` if the key does not exist. */
   public getText(key: string): string | undefined {
     this.expireLeases();
@@ -205,7 +240,7 @@
   }
 
   private changesAfter(prefix: string, after: number): StoredChange[] {
-    if (after < this.compactedRevision) {
+    if (after < this.compactedRevision || after > this.revision) {
       throw new RevisionCompactedError('the requested changes have been compacted', 'not-applied', {
         step: 'fake',
       });
