--- a/src/common/base/Ids.ts
+++ b/src/common/base/Ids.ts
@@ -30,6 +30,9 @@
 /** Number of a configuration revision, incremented by each accepted change. */
 export type Revision = Branded<number, 'Revision'>;
 
+/** Number that rises each time the store comes back from an older copy; revisions compare within one epoch. */
+export type StoreEpoch = Branded<number, 'StoreEpoch'>;
+
 /** Casts a primitive to the branded type that the caller expects, without a check. */
 export function brandAs<Id extends string | number>(
   value: Id extends string ? string : number,
--- a/src/common/fleet/FleetDirectory.test.ts
+++ b/src/common/fleet/FleetDirectory.test.ts
@@ -131,6 +131,29 @@
     expect(directory.candidates(service)).to.deep.equal([]);
   });
 
+  const restored = [
+    { name: 'an earlier incarnation of a daemon', incarnation: '000000001-a', state: 'kept' },
+    { name: 'a later incarnation of a daemon', incarnation: '000000003-a', state: 'replaced' },
+  ];
+  restored.forEach(({ name, incarnation, state }) => {
+    it(`${state === 'kept' ? 'ignores' : 'takes'} ${name} in a store that came back from an older copy`, () => {
+      const { directory } = create([]);
+      const known = brandAs<Incarnation>('000000002-a');
+      directory.put(record('a', { incarnation: known }));
+      directory.replaceAllRestored([
+        record('a', { incarnation: brandAs<Incarnation>(incarnation), targets: [] }),
+      ]);
+      expect(directory.candidates(service)).to.have.length(state === 'kept' ? 1 : 0);
+    });
+  });
+
+  it('keeps a daemon in use that a store from an older copy lacks, since it writes its record again', () => {
+    const { directory } = create(['a']);
+    directory.replaceAllRestored([]);
+    directory.prune();
+    expect(directory.candidates(service)).to.have.length(1);
+  });
+
   const exclusions = [
     { name: 'one of five seems unhealthy', unhealthyCount: 1, isExcluded: true },
     {
--- a/src/common/fleet/FleetDirectory.ts
+++ b/src/common/fleet/FleetDirectory.ts
@@ -99,6 +99,19 @@
     records.forEach((record) => this.put(record));
   }
 
+  /**
+   * As `replaceAll`, for a store that has come back from an older copy: a record of an earlier incarnation than the known
+   * one is from before a restart of its daemon, which writes its record again.
+   */
+  public replaceAllRestored(records: readonly DaemonRecord[]): void {
+    this.replaceAll(
+      records.filter(({ daemon, incarnation }) => {
+        const known = this.peers.get(daemon)?.record.incarnation;
+        return known === undefined || known <= incarnation;
+      }),
+    );
+  }
+
   /** Adds or replaces the record of a daemon unless it is older than the known one. */
   public put(record: DaemonRecord): void {
     const known = this.peers.get(record.daemon);
--- a/src/common/fleet/PrefixWatcher.ts
+++ b/src/common/fleet/PrefixWatcher.ts
@@ -7,6 +7,7 @@
 } from '../base/index.js';
 import type { StoreChange } from '../services/Types.js';
 import { RevisionCompactedError } from './errors.js';
+import { comparePositions, positionOf, type StorePosition } from './StorePosition.js';
 import type { PolledStore, StoreSnapshot } from './Types.js';
 
 /** Delay in milliseconds after the first failed call; it doubles with each further failure. */
@@ -44,7 +45,7 @@
   /** Fires with the changes since the last event, oldest first. */
   public readonly onChanges = this.changeEmitter.event;
 
-  private revision: number | undefined;
+  private position: StorePosition | undefined;
 
   private failures = 0;
 
@@ -60,7 +61,7 @@
 
   /** Whether the last call to the store succeeded. */
   public get isConnected(): boolean {
-    return this.revision !== undefined && this.failures === 0;
+    return this.position !== undefined && this.failures === 0;
   }
 
   /** Starts watching; returns at once. */
@@ -95,21 +96,17 @@
 
   private async pollOnce(): Promise<boolean> {
     const { store, prefix, pollTimeout } = this.settings;
-    if (this.revision === undefined) {
+    if (this.position === undefined) {
       const snapshot = await store.snapshot(prefix);
-      this.revision = snapshot.revision;
+      this.position = positionOf(snapshot);
       this.changesSinceSnapshot = 0;
       if (!this.isDisposed) this.snapshotEmitter.fire(snapshot);
       return true;
     }
     this.poll = new AbortController();
-    const { changes, revision } = await store.changes(
-      prefix,
-      this.revision,
-      pollTimeout,
-      this.poll.signal,
-    );
-    this.revision = Math.max(this.revision, revision);
+    const found = await store.changes(prefix, this.position, pollTimeout, this.poll.signal);
+    const { changes } = found;
+    if (comparePositions(found, this.position) > 0) this.position = positionOf(found);
     if (changes.length > 0 && !this.isDisposed) this.changeEmitter.fire(changes);
     return changes.length > 0;
   }
@@ -124,7 +121,7 @@
   private async handleFailure(error: unknown): Promise<void> {
     if (this.isDisposed) return;
     if (error instanceof RevisionCompactedError) {
-      this.revision = undefined;
+      this.position = undefined;
       this.logEvent(
         'info',
         'the store has compacted the requested revision; reading all entries again',
@@ -171,7 +168,8 @@
       fields: {
         step: 'store.follow',
         prefix,
-        revision: this.revision,
+        epoch: this.position?.epoch,
+        revision: this.position?.revision,
         failures: this.failures,
         error: error === undefined ? undefined : String(error),
       },
--- a/src/common/fleet/Registration.test.ts
+++ b/src/common/fleet/Registration.test.ts
@@ -53,7 +53,7 @@
 
   it('does not write its key again for a state from before it was written', async () => {
     const { clock, store, registration } = create();
-    const before = store.lastRevision;
+    const before = { epoch: store.epoch, revision: store.lastRevision };
     registration.publish('one');
     await clock.advanceAsync(200);
     registration.markLost(before);
@@ -66,7 +66,7 @@
     registration.publish('one');
     await clock.advanceAsync(100);
     store.remove(key);
-    registration.markLost(store.lastRevision);
+    registration.markLost({ epoch: store.epoch, revision: store.lastRevision });
     await clock.advanceAsync(200);
     expect(store.getText(key)).to.equal('one');
   });
--- a/src/common/fleet/Registration.ts
+++ b/src/common/fleet/Registration.ts
@@ -1,5 +1,6 @@
-import type { Clock, Disposable, LogSink, RandomSource } from '../base/index.js';
+import type { Clock, Disposable, LogSink, RandomSource, StoreEpoch } from '../base/index.js';
 import { LeaseExpiredError } from './errors.js';
+import type { StorePosition } from './StorePosition.js';
 import type { PolledStore } from './Types.js';
 
 const millisecondsPerSecond = 1_000;
@@ -37,7 +38,13 @@
 
   private failures = 0;
 
-  public constructor(private readonly settings: RegistrationSettings) {}
+  private epoch: StoreEpoch | undefined;
+
+  private readonly epochs: Disposable;
+
+  public constructor(private readonly settings: RegistrationSettings) {
+    this.epochs = settings.store.onEpoch((epoch) => this.observeEpoch(epoch));
+  }
 
   /** Whether the last published value is in the store, as far as is known. */
   public get isWritten(): boolean {
@@ -52,35 +59,56 @@
   }
 
   /**
-   * Reports that the key was not in the store at a revision, since the lease was revoked without notice. A state from
+   * Reports the epoch of the store. What was written in an earlier one may be gone, and the number of its lease may have
+   * been given to another daemon, so that a renewal proves nothing.
+   */
+  public observeEpoch(epoch: StoreEpoch): void {
+    if (this.epoch !== undefined && epoch <= this.epoch) return;
+    const isFirst = this.epoch === undefined;
+    this.epoch = epoch;
+    if (isFirst || this.desired === undefined) return;
+    this.forget();
+    this.logEvent('warn', 'the store is in a new epoch; writing the key of this daemon again');
+    this.schedule();
+  }
+
+  /**
+   * Reports that the key was not in the store at a position, since the lease was revoked without notice. A state from
    * before the last write tells nothing.
    */
-  public markLost(revision: number): void {
-    if (this.written === undefined || revision < this.modRevision) return;
-    this.written = undefined;
-    this.lease = undefined;
-    this.modRevision = 0;
+  public markLost({ epoch, revision }: StorePosition): void {
+    this.observeEpoch(epoch);
+    if (this.written === undefined || epoch !== this.epoch || revision < this.modRevision) return;
+    this.forget();
     this.logEvent('warn', 'the key of this daemon was removed from the store; writing it again');
     this.schedule();
   }
 
-  /** Revokes the lease, which removes the key. */
+  /** Removes the key. The lease is left to expire: its number may be another daemon's in an epoch that is not known yet. */
   public async withdraw(): Promise<void> {
-    const { lease } = this;
+    const { key, store } = this.settings;
+    const { modRevision } = this;
     this.dispose();
-    if (lease === undefined) return;
+    if (modRevision === 0) return;
     try {
-      await this.settings.store.revokeLease(lease);
+      await store.transact([{ key, modRevision }], [{ type: 'delete', key }]);
     } catch (error) {
-      this.logEvent('info', 'could not revoke the lease; it will expire', error);
+      this.logEvent('info', 'could not remove the key; it will expire with its lease', error);
     }
   }
 
   public dispose(): void {
     this.isDisposed = true;
+    this.epochs.dispose();
     this.timer?.dispose();
   }
 
+  private forget(): void {
+    this.written = undefined;
+    this.lease = undefined;
+    this.modRevision = 0;
+  }
+
   private schedule(): void {
     this.timer?.dispose();
     void this.renew();
@@ -124,24 +152,34 @@
 
   private async synchronize(value: string): Promise<void> {
     const { store, leaseSeconds } = this.settings;
-    if (this.lease === undefined) {
-      this.written = undefined;
-      this.lease = await store.grantLease(leaseSeconds);
-    } else if (this.written === value) {
+    if (this.lease !== undefined && this.written === value) {
       await store.keepAlive(this.lease);
       return;
     }
-    await this.put(value, this.lease);
+    const lease = this.lease ?? (await this.grantLease(leaseSeconds));
+    if (lease !== undefined) await this.put(value, lease);
+  }
+
+  /** Grants a lease; undefined if the epoch has changed meanwhile, so that it may be of the earlier one. */
+  private async grantLease(duration: number): Promise<string | undefined> {
+    this.written = undefined;
+    const { epoch } = this;
+    const lease = await this.settings.store.grantLease(duration);
+    if (epoch !== undefined && epoch !== this.epoch) return undefined;
+    this.lease = lease;
+    return lease;
   }
 
   /** Writes the key conditionally, so that a delayed write of an older value cannot replace a newer one. */
   private async put(value: string, lease: string): Promise<void> {
     const { store, key } = this.settings;
+    const { epoch } = this;
     const content = new TextEncoder().encode(value);
     const result = await store.transact(
       [{ key, modRevision: this.modRevision }],
       [{ type: 'put', key, value: content, lease }],
     );
+    if (epoch !== this.epoch) return;
     if (result.applied) {
       this.modRevision = result.revision;
       if (this.lease === lease) this.written = value;
--- a/src/common/fleet/RelayedStore.ts
+++ b/src/common/fleet/RelayedStore.ts
@@ -1,12 +1,15 @@
 import {
   DisposableStore,
+  Emitter,
   FleetError,
   type Clock,
   type DaemonId,
   type Disposable,
   type LogSink,
+  type StoreEpoch,
 } from '../base/index.js';
 import { RevisionCompactedError } from './errors.js';
+import { comparePositions, positionOf, type StorePosition } from './StorePosition.js';
 import { raceStages, type RaceStage } from './raceStages.js';
 import { RelaySelector, type ChangeSource } from './RelaySelector.js';
 import { StoreMirror } from './StoreMirror.js';
@@ -73,7 +76,7 @@
 interface Poll {
   readonly prefix: string;
   readonly state: PrefixState;
-  readonly after: number;
+  readonly after: StorePosition;
   /** Milliseconds for which the first source may hold the poll. */
   readonly wait: number;
   /** Source that is asked first. */
@@ -110,6 +113,8 @@
   readonly source: string;
   /** Milliseconds since the store had confirmed the state that it replaced; no change in it is older. */
   readonly previousAge: number;
+  /** Epoch of the store in which it was read. */
+  readonly epoch: StoreEpoch;
 }
 
 /**
@@ -122,6 +127,11 @@
 
   private readonly disposables = new DisposableStore();
 
+  private readonly epochEmitter = this.disposables.add(new Emitter<StoreEpoch>());
+
+  /** Fires when a prefix was read in a later epoch than before. */
+  public readonly onEpoch = this.epochEmitter.event;
+
   public constructor(private readonly settings: RelayedStoreSettings) {}
 
   /** Reads all entries at first; later returns those that `changes` has read in place of the changes. */
@@ -148,7 +158,7 @@
    */
   public async changes(
     prefix: string,
-    after: number,
+    after: StorePosition,
     wait: number,
     signal: AbortSignal,
   ): Promise<StoreChanges> {
@@ -174,9 +184,9 @@
     state.previousAge = mirror.age;
     if (result.type === 'changes') {
       const changes = mirror.add(result, result.age);
-      return { changes, revision: result.revision };
+      return { ...positionOf(result), changes };
     }
-    mirror.replace(result, result.age);
+    this.replace(poll, result);
     throw new RevisionCompactedError('read all entries instead of the changes', 'not-applied', {
       step: 'fleet.relay',
       peer: nameOf(contender),
@@ -208,8 +218,9 @@
   /** Last successful read of a prefix; undefined before the first one. */
   public lastRead(prefix: string): LastRead | undefined {
     const state = this.prefixes.get(prefix);
-    if (state?.mirror.revision === undefined) return undefined;
-    return { source: state.lastSource, previousAge: state.previousAge };
+    if (state?.mirror.position === undefined) return undefined;
+    const { epoch } = state.mirror.position;
+    return { source: state.lastSource, previousAge: state.previousAge, epoch };
   }
 
   /** Entries of a prefix as last read; undefined before the first snapshot. */
@@ -375,29 +386,62 @@
     source: ChangeSource,
     result: PollResult,
   ): void {
-    const known = mirror.revision ?? 0;
+    const known = mirror.position;
+    const isEarlierEpoch = known !== undefined && result.epoch < known.epoch;
     const isNewer =
-      result.type === 'changes' ? result.changes.length > 0 : result.revision >= known;
-    if (isNewer) return;
+      result.type === 'changes'
+        ? result.changes.length > 0
+        : known === undefined || comparePositions(result, known) >= 0;
     const isConfirmed =
       result.type === 'changes' && !isUrgent && result.age <= staleness.outdated * maxStaleness;
-    if (isConfirmed) return;
+    if (!isEarlierEpoch && (isNewer || isConfirmed)) return;
     throw new FleetError(`nothing newer in a state of ${Math.round(result.age)} ms ago`, {
       step: 'fleet.relay',
       peer: nameOf(source),
     });
   }
 
-  private logFailure({ prefix, state, after }: Poll, source: ChangeSource, error: string): void {
+  /** Replaces the known state by a snapshot, which may be of a later epoch. */
+  private replace({ prefix, state: { mirror } }: Poll, snapshot: Aged<StoreSnapshot>): void {
+    const before = mirror.snapshot;
+    mirror.replace(snapshot, snapshot.age);
+    if (before === undefined || snapshot.epoch <= before.epoch) return;
+    const keysOf = ({ entries }: StoreSnapshot): Set<string> =>
+      new Set(entries.map(({ key }) => key));
+    const [old, current] = [keysOf(before), keysOf(snapshot)];
     this.settings.log.write({
-      level: 'info',
+      level: 'warn',
+      kind: 'membership',
+      message: 'the store came back from an older copy',
+      fields: {
+        step: 'fleet.epoch',
+        prefix,
+        before: before.epoch,
+        epoch: snapshot.epoch,
+        revisionBefore: before.revision,
+        revision: snapshot.revision,
+        missing: [...old].filter((key) => !current.has(key)).length,
+        returned: [...current].filter((key) => !old.has(key)).length,
+      },
+    });
+    this.epochEmitter.fire(snapshot.epoch);
+  }
+
+  private logFailure(
+    { prefix, state, after, primary }: Poll,
+    source: ChangeSource,
+    error: string,
+  ): void {
+    this.settings.log.write({
+      // While the store is away each read asks many backups.
+      level: source === primary ? 'info' : 'debug',
       kind: 'membership',
       message: 'could not read the changes of the store from a source',
       fields: {
         step: 'fleet.relay',
         prefix,
         source: nameOf(source),
-        revision: after,
+        revision: after.revision,
         age: Math.round(state.mirror.age),
         error,
       },
@@ -417,7 +461,7 @@
         prefix,
         source: name,
         before: state.lastSource,
-        revision: state.mirror.revision,
+        revision: state.mirror.position?.revision,
         age: Math.round(state.mirror.age),
       },
     });
--- a/src/common/fleet/StoreMirror.test.ts
+++ b/src/common/fleet/StoreMirror.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
-import { VirtualClock } from '../base/index.js';
+import { brandAs, VirtualClock, type StoreEpoch } from '../base/index.js';
 import type { StoreChange } from '../services/Types.js';
+import type { StorePosition } from './StorePosition.js';
 import { StoreMirror } from './StoreMirror.js';
 
 const put = (key: string, modRevision: number): StoreChange => ({
@@ -11,6 +12,8 @@
   type: 'delete',
   entry: { key, value: new Uint8Array(), modRevision },
 });
+const epoch = brandAs<StoreEpoch>(1);
+const at = (revision: number): StorePosition => ({ epoch, revision });
 const describeChanges = (changes: readonly StoreChange[]): string[] =>
   changes.map(({ type, entry }) => `${type} ${entry.key} ${entry.modRevision}`);
 
@@ -19,7 +22,7 @@
   const clock = new VirtualClock();
   const mirror = new StoreMirror(clock);
   const entries = [put('a', 3).entry, put('b', 5).entry];
-  mirror.replace({ entries, revision: 6 }, 0);
+  mirror.replace({ entries, epoch, revision: 6 }, 0);
   return { clock, mirror };
 }
 
@@ -59,48 +62,48 @@
   cases.forEach(({ name, changes, after, result }) => {
     it(`tells a follower ${name}`, () => {
       const { mirror } = create();
-      mirror.add({ changes, revision: 10 }, 0);
-      expect(describeChanges(mirror.changesAfter(after).changes)).to.deep.equal(result);
-      expect(mirror.changesAfter(after).revision).to.equal(10);
+      mirror.add({ epoch, changes, revision: 10 }, 0);
+      expect(describeChanges(mirror.changesAfter(at(after)).changes)).to.deep.equal(result);
+      expect(mirror.changesAfter(at(after)).revision).to.equal(10);
     });
   });
 
   it('tells a follower from before the snapshot all keys, since deletions may be missing', () => {
     const { mirror } = create();
-    const { changes, keys } = mirror.changesAfter(4);
+    const { changes, keys } = mirror.changesAfter(at(4));
     expect(describeChanges(changes)).to.deep.equal(['put b 5']);
     expect(keys).to.deep.equal(['a', 'b']);
-    expect(mirror.changesAfter(6).keys).to.equal(undefined);
+    expect(mirror.changesAfter(at(6)).keys).to.equal(undefined);
   });
 
   it('tells followers all keys once it has dropped a deletion that they may miss', () => {
     const { mirror } = create();
     for (let revision = 7; revision < 2_007; revision += 1) {
-      mirror.add({ changes: [removal(`k${revision}`, revision)], revision }, 0);
+      mirror.add({ epoch, changes: [removal(`k${revision}`, revision)], revision }, 0);
     }
-    expect(mirror.changesAfter(6).keys).to.deep.equal(['a', 'b']);
-    expect(mirror.changesAfter(1_500).keys).to.equal(undefined);
-    expect(mirror.changesAfter(1_500).changes).to.have.length(506);
+    expect(mirror.changesAfter(at(6)).keys).to.deep.equal(['a', 'b']);
+    expect(mirror.changesAfter(at(1_500)).keys).to.equal(undefined);
+    expect(mirror.changesAfter(at(1_500)).changes).to.have.length(506);
   });
 
   it('removes what a list of keys lacks, so that a deletion is not missed', () => {
     const { mirror } = create();
-    const changes = mirror.add({ changes: [put('c', 8)], revision: 9, keys: ['b', 'c'] }, 0);
+    const changes = mirror.add({ epoch, changes: [put('c', 8)], revision: 9, keys: ['b', 'c'] }, 0);
     expect(describeChanges(changes)).to.deep.equal(['delete a 9', 'put c 8']);
     expect(mirror.snapshot?.entries.map(({ key }) => key)).to.deep.equal(['b', 'c']);
   });
 
   it('does not go back to an older snapshot', () => {
     const { mirror } = create();
-    mirror.add({ changes: [removal('a', 8)], revision: 8 }, 0);
-    mirror.replace({ entries: [put('a', 3).entry], revision: 7 }, 0);
+    mirror.add({ epoch, changes: [removal('a', 8)], revision: 8 }, 0);
+    mirror.replace({ entries: [put('a', 3).entry], epoch, revision: 7 }, 0);
     expect(mirror.snapshot?.entries.map(({ key }) => key)).to.deep.equal(['b']);
   });
 
   it('counts its age from the time at which the store confirmed the state', () => {
     const { clock, mirror } = create();
     clock.advance(500);
-    mirror.add({ changes: [], revision: 6 }, 300);
+    mirror.add({ epoch, changes: [], revision: 6 }, 300);
     clock.advance(100);
     expect(mirror.age).to.equal(400);
   });
@@ -108,7 +111,7 @@
   it('keeps its age if a relay confirms an older state', () => {
     const { clock, mirror } = create();
     clock.advance(100);
-    mirror.add({ changes: [], revision: 6 }, 5_000);
+    mirror.add({ epoch, changes: [], revision: 6 }, 5_000);
     expect(mirror.age).to.equal(100);
   });
 });
--- a/src/common/fleet/StoreMirror.ts
+++ b/src/common/fleet/StoreMirror.ts
@@ -1,5 +1,7 @@
 import { Emitter, type Clock, type Disposable } from '../base/index.js';
 import type { StoreChange } from '../services/Types.js';
+import { RevisionCompactedError } from './errors.js';
+import { comparePositions, firstEpoch, type StorePosition } from './StorePosition.js';
 import type { StoreChanges, StoreSnapshot } from './Types.js';
 
 /** Deleted keys that are kept, so that daemons that follow this mirror learn of the deletions. */
@@ -27,7 +29,7 @@
 
   private lastProgressAt = -Infinity;
 
-  private known: number | undefined;
+  private known: StorePosition | undefined;
 
   /** Revision before which changes may be missing here. */
   private compacted = 0;
@@ -38,17 +40,17 @@
 
   public constructor(private readonly clock: Clock) {}
 
-  /** Revision of the store up to which all changes are known; undefined before the first snapshot. */
-  public get revision(): number | undefined {
+  /** Position up to which all changes are known; undefined before the first snapshot. */
+  public get position(): StorePosition | undefined {
     return this.known;
   }
 
-  /** Milliseconds since the store confirmed that `revision` is the newest; infinite before the first snapshot. */
+  /** Milliseconds since the store confirmed that `position` is the newest; infinite before the first snapshot. */
   public get age(): number {
     return this.clock.elapsed() - this.lastConfirmedAt;
   }
 
-  /** Monotonic time at which the store last confirmed that `revision` is the newest; -Infinity before the first snapshot. */
+  /** Monotonic time at which the store last confirmed that `position` is the newest; -Infinity before the first snapshot. */
   public get confirmedAt(): number {
     return this.lastConfirmedAt;
   }
@@ -65,28 +67,31 @@
   }
 
   /** Replaces all entries by those that the store had `age` milliseconds ago, unless newer changes are known. */
-  public replace({ entries, revision }: StoreSnapshot, age: number): void {
-    if (this.known !== undefined && revision < this.known) return;
+  public replace({ entries, epoch, revision }: StoreSnapshot, age: number): void {
+    if (this.known !== undefined && comparePositions({ epoch, revision }, this.known) < 0) return;
     this.latest.clear();
     this.deletions = 0;
     entries.forEach((entry) => this.latest.set(entry.key, { type: 'put', entry }));
     // Followers may know keys that were deleted since and that this mirror has never seen.
     this.compacted = revision;
-    this.known = revision;
+    this.known = { epoch, revision };
     this.confirm(age);
     this.changeEmitter.fire();
     this.confirmEmitter.fire();
   }
 
   /**
-   * Adds changes that follow `revision`, confirmed by the store `age` milliseconds ago. Returns them with the deletions that
-   * only the list of keys shows.
+   * Adds changes that follow `position`, confirmed by the store `age` milliseconds ago, unless they are of another epoch.
+   * Returns them with the deletions that only the list of keys shows.
    */
-  public add({ changes, revision, keys }: StoreChanges, age: number): readonly StoreChange[] {
-    if (this.known === undefined) return [];
+  public add(
+    { changes, epoch, revision, keys }: StoreChanges,
+    age: number,
+  ): readonly StoreChange[] {
+    if (this.known?.epoch !== epoch) return [];
     const all = keys === undefined ? changes : [...this.missing(keys, revision), ...changes];
     all.forEach((change) => this.addChange(change));
-    this.known = Math.max(this.known, revision);
+    this.known = { epoch, revision: Math.max(this.known.revision, revision) };
     this.confirm(age);
     if (all.length > 0) this.changeEmitter.fire();
     this.confirmEmitter.fire();
@@ -99,19 +104,25 @@
     const entries = [...this.latest.values()].flatMap(({ type, entry }) =>
       type === 'put' ? [entry] : [],
     );
-    return { entries, revision: this.known };
+    return { ...this.known, entries };
   }
 
   /**
-   * Last change of each key after a revision, oldest first, with a list of all keys if deletions after that revision may be
-   * missing.
+   * Last change of each key after a position, oldest first, with a list of all keys if deletions after it may be missing.
+   * Throws `RevisionCompactedError` if the position is of an earlier epoch; of a later one there are no changes yet.
    */
-  public changesAfter(revision: number): StoreChanges {
+  public changesAfter({ epoch, revision }: StorePosition): StoreChanges {
+    const known = this.known ?? { epoch: firstEpoch, revision: 0 };
+    if (epoch > known.epoch) return { ...known, changes: [] };
+    if (epoch < known.epoch) {
+      throw new RevisionCompactedError('the position is of an earlier epoch', 'not-applied', {
+        step: 'fleet.mirror',
+      });
+    }
     const changes = [...this.latest.values()].filter(({ entry }) => entry.modRevision > revision);
     changes.sort((left, right) => left.entry.modRevision - right.entry.modRevision);
-    const known = this.known ?? 0;
-    if (revision >= this.compacted) return { changes, revision: known };
-    return { changes, revision: known, keys: [...this.presentKeys] };
+    if (revision >= this.compacted) return { ...known, changes };
+    return { ...known, changes, keys: [...this.presentKeys] };
   }
 
   public dispose(): void {
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -3,12 +3,15 @@
   DaemonId,
   DataCentre,
   Disposable,
+  Event,
   Incarnation,
   Region,
   ServiceName,
+  StoreEpoch,
   TargetId,
 } from '../base/index.js';
 import type { Store, StoreChange, StoreEntry } from '../services/Types.js';
+import type { StorePosition } from './StorePosition.js';
 
 /** Target in the record of its home. */
 export interface PublishedTarget {
@@ -55,24 +58,22 @@
   readonly warmUp: number;
 }
 
-/** Entries under a prefix and the store revision at which they were read. */
-export interface StoreSnapshot {
+/** Entries under a prefix and the position at which they were read. */
+export interface StoreSnapshot extends StorePosition {
   readonly entries: readonly StoreEntry[];
-  readonly revision: number;
 }
 
-/** Changes under a prefix up to a store revision. */
-export interface StoreChanges {
+/** Changes under a prefix up to a position. */
+export interface StoreChanges extends StorePosition {
   readonly changes: readonly StoreChange[];
-  readonly revision: number;
   /** All keys that exist, if some deletions are not among the changes. */
   readonly keys?: readonly string[];
 }
 
 /** Poll of a daemon that follows another one. */
 export interface RelayPoll {
-  /** Revision that the follower knows. */
-  readonly after: number;
+  /** Position that the follower knows. */
+  readonly after: StorePosition;
   /** Milliseconds since the store confirmed the state of the follower; 0 if it does not say. */
   readonly age: number;
   /** Milliseconds for which the poll may be held without news. */
@@ -84,15 +85,17 @@
 /** Store whose changes are read by long polling. Every call can throw `StoreError`. */
 export interface PolledStore
   extends Pick<Store, 'get' | 'transact' | 'grantLease' | 'keepAlive' | 'revokeLease'>, Disposable {
+  /** Fires with the epoch of the first response, and of each later one with a higher epoch, before the call returns. */
+  readonly onEpoch: Event<StoreEpoch>;
   /** Reads all entries under a prefix. */
   snapshot(prefix: string, signal?: AbortSignal, onProgress?: () => void): Promise<StoreSnapshot>;
   /**
-   * Waits up to `wait` milliseconds for changes after a revision; calls `onProgress` while a response arrives.
-   * Throws `RevisionCompactedError` if the store has compacted them.
+   * Waits up to `wait` milliseconds for changes after a position; calls `onProgress` while a response arrives.
+   * Throws `RevisionCompactedError` if the store has compacted them or is in a later epoch.
    */
   changes(
     prefix: string,
-    after: number,
+    after: StorePosition,
     wait: number,
     signal: AbortSignal,
     onProgress?: () => void,
--- a/src/common/fleet/awaitNews.test.ts
+++ b/src/common/fleet/awaitNews.test.ts
@@ -1,9 +1,11 @@
 import { expect } from 'chai';
-import { VirtualClock } from '../base/index.js';
+import { brandAs, VirtualClock, type StoreEpoch } from '../base/index.js';
 import type { StoreChange } from '../services/Types.js';
 import { awaitNews } from './awaitNews.js';
 import { StoreMirror } from './StoreMirror.js';
 
+const epoch = brandAs<StoreEpoch>(1);
+const next = brandAs<StoreEpoch>(2);
 const change: StoreChange = {
   type: 'put',
   entry: { key: 'a', value: Buffer.from('2'), modRevision: 7 },
@@ -16,7 +18,7 @@
     readonly mirrorAge: number;
     readonly age: number;
     /** Called 100 ms after the poll. */
-    readonly act?: (mirror: StoreMirror, abort: AbortController, clock: VirtualClock) => void;
+    readonly act?: (mirror: StoreMirror, abort: AbortController, clock: VirtualClock) => unknown;
     readonly endsAt: number;
   }[] = [
     { name: 'is held for its wait without news', mirrorAge: 300, age: 310, endsAt: 1_000 },
@@ -24,21 +26,21 @@
       name: 'ends when there is a change',
       mirrorAge: 300,
       age: 310,
-      act: (mirror) => mirror.add({ changes: [change], revision: 8 }, 0),
+      act: (mirror) => mirror.add({ epoch, changes: [change], revision: 8 }, 0),
       endsAt: 100,
     },
     {
       name: 'ends when the store confirms the state',
       mirrorAge: 300,
       age: 310,
-      act: (mirror) => mirror.add({ changes: [], revision: 6 }, 0),
+      act: (mirror) => mirror.add({ epoch, changes: [], revision: 6 }, 0),
       endsAt: 100,
     },
     {
       name: 'is held if the state is confirmed that the follower knows, or polls would follow each other without a pause',
       mirrorAge: 300,
       age: 310,
-      act: (mirror) => mirror.add({ changes: [], revision: 6 }, 400),
+      act: (mirror) => mirror.add({ epoch, changes: [], revision: 6 }, 400),
       endsAt: 1_000,
     },
     {
@@ -47,6 +49,13 @@
       age: 1_200,
       endsAt: 0,
     },
+    {
+      name: 'ends when the store is in a later epoch',
+      mirrorAge: 300,
+      age: 310,
+      act: (mirror) => mirror.replace({ entries: [], epoch: next, revision: 2 }, 0),
+      endsAt: 100,
+    },
     {
       name: 'is held longer while a newer state arrives',
       mirrorAge: 300,
@@ -55,7 +64,7 @@
         for (let time = 0; time <= 1_200; time += 200) {
           clock.after(time, () => mirror.recordProgress());
         }
-        clock.after(1_250, () => mirror.add({ changes: [change], revision: 8 }, 0));
+        clock.after(1_250, () => mirror.add({ epoch, changes: [change], revision: 8 }, 0));
       },
       endsAt: 1_350,
     },
@@ -82,9 +91,9 @@
       const abort = new AbortController();
       const mirror = new StoreMirror(clock);
       clock.advance(5_000);
-      mirror.replace({ entries: [], revision: 6 }, mirrorAge);
+      mirror.replace({ entries: [], epoch, revision: 6 }, mirrorAge);
       let endedAt: number | undefined;
-      const poll = { after: 6, age, wait: 1_000, isFollower: true };
+      const poll = { after: { epoch, revision: 6 }, age, wait: 1_000, isFollower: true };
       void awaitNews(mirror, poll, clock, abort.signal).then(() => {
         endedAt = clock.elapsed() - 5_000;
       });
--- a/src/common/fleet/awaitNews.ts
+++ b/src/common/fleet/awaitNews.ts
@@ -1,4 +1,5 @@
 import { DisposableStore, type Clock } from '../base/index.js';
+import { firstEpoch } from './StorePosition.js';
 import type { StoreMirror } from './StoreMirror.js';
 import type { RelayPoll } from './Types.js';
 
@@ -10,7 +11,7 @@
 const maxExtension = 4_000;
 
 /**
- * Holds the poll of a follower until the mirror has a change for it, the store has confirmed the mirror more recently
+ * Holds the poll of a follower until the mirror has a change or a later epoch for it, the store has confirmed the mirror more recently
  * than the follower's state, the wait is over, or `signal` is aborted. It is held longer while a newer state arrives.
  */
 export function awaitNews(
@@ -20,8 +21,13 @@
   signal: AbortSignal,
 ): Promise<void> {
   const confirmedAt = clock.elapsed() - age;
-  const hasNews = (): boolean =>
-    mirror.changesAfter(after).changes.length > 0 || mirror.confirmedAt - confirmedAt >= minGain;
+  const hasNews = (): boolean => {
+    const epoch = mirror.position?.epoch ?? firstEpoch;
+    if (epoch !== after.epoch) return epoch > after.epoch;
+    return (
+      mirror.changesAfter(after).changes.length > 0 || mirror.confirmedAt - confirmedAt >= minGain
+    );
+  };
   if (hasNews() || signal.aborted) return Promise.resolve();
   return new Promise((resolve) => {
     const disposables = new DisposableStore();
--- a/src/common/operations/Quarantine.test.ts
+++ b/src/common/operations/Quarantine.test.ts
@@ -6,6 +6,8 @@
   type Incarnation,
   type TargetId,
 } from '../base/index.js';
+import { FakePolledStore } from '../../testing/FakePolledStore.js';
+import { SharedWatchStore } from '../fleet/SharedWatchStore.js';
 import { FakeStore } from '../../bench/operations/FakeStore.js';
 import { FakeStoreClient, noFaults } from '../../bench/operations/FakeStoreClient.js';
 import { Quarantine, type QuarantineStatus, type TargetCrash } from './Quarantine.js';
@@ -140,6 +142,29 @@
     expect(later.list().map(({ fingerprint }) => fingerprint)).to.deep.equal([crashingRequest]);
   });
 
+  it('writes its reports again when the store has lost them, so that a daemon that starts refuses the request', async () => {
+    const clock = new VirtualClock();
+    const polled = new FakePolledStore(clock);
+    const never = { onChanges: () => ({ dispose() {} }), onSnapshot: () => ({ dispose() {} }) };
+    const open = (): Quarantine =>
+      new Quarantine({
+        store: new SharedWatchStore(polled, never, () => undefined),
+        clock,
+        log: { write: () => {} },
+      });
+    const reporters = [open(), open()];
+    const copy = polled.copy();
+    await reporters[0]?.reportCrash(crash('t1', [crashingRequest]));
+    await reporters[1]?.reportCrash(crash('t2', [crashingRequest]));
+    polled.restore(copy);
+    const before = polled.callCounts.transact ?? 0;
+    for (const one of reporters) await one.rewrite();
+    expect(polled.getText(`quarantine/${crashingRequest}`))
+      .to.contain('t1/')
+      .and.contain('t2/');
+    expect((polled.callCounts.transact ?? 0) - before).to.be.at.most(2);
+  });
+
   const odd = [
     { name: 'no JSON', text: '{' },
     { name: 'null', text: 'null' },
--- a/src/common/operations/Quarantine.ts
+++ b/src/common/operations/Quarantine.ts
@@ -83,6 +83,9 @@
 export class Quarantine implements Disposable {
   private readonly entries = new Map<Fingerprint, QuarantineEntry>();
 
+  /** Fingerprints of which this process has reported a crash. */
+  private readonly reported = new Set<Fingerprint>();
+
   private watch: Disposable | undefined;
 
   private isDisposed = false;
@@ -128,9 +131,18 @@
   public async reportCrash(crash: TargetCrash): Promise<void> {
     const crashId = `${crash.target}/${crash.incarnation}`;
     const changed = crash.fingerprints.map((fingerprint) => this.addCrash(fingerprint, crashId));
+    crash.fingerprints.forEach((fingerprint) => this.reported.add(fingerprint));
     await Promise.all(changed.map((entry) => this.save(entry)));
   }
 
+  /** Writes the crashes that this process has reported again, for a store that has lost its last changes. */
+  public async rewrite(): Promise<void> {
+    const entries = [...this.reported].flatMap((fingerprint) => this.find(fingerprint) ?? []);
+    this.reported.clear();
+    entries.forEach(({ fingerprint }) => this.reported.add(fingerprint));
+    await Promise.all(entries.map((entry) => this.save(entry)));
+  }
+
   /** Clears a suspect whose request completed. A quarantined fingerprint stays. */
   public async recordCompletion(fingerprint: Fingerprint): Promise<void> {
     if (this.statusOf(fingerprint) === 'suspect') await this.clear(fingerprint);
@@ -146,6 +158,7 @@
   /** Clears a fingerprint. Returns false if the record could not be deleted from the store. */
   public async clear(fingerprint: Fingerprint): Promise<boolean> {
     this.entries.delete(fingerprint);
+    this.reported.delete(fingerprint);
     try {
       await this.context.store.transact([], [{ type: 'delete', key: this.keyOf(fingerprint) }]);
       return true;
@@ -220,12 +233,26 @@
     const entry = this.find(fingerprint);
     // The fingerprint was cleared meanwhile.
     if (entry === undefined) return true;
+    const hasAll =
+      present !== undefined && this.isContained(entry, present, this.context.clock.now().getTime());
+    if (hasAll) return true;
     const content = { crashes: entry.crashes, crashedAt: entry.crashedAt };
     const value = new TextEncoder().encode(JSON.stringify(content));
     const compare = { key, modRevision: present?.modRevision ?? 0 };
     return (await store.transact([compare], [{ type: 'put', key, value }])).applied;
   }
 
+  /** Whether a record of the store has all crashes of an entry. */
+  private isContained(
+    { crashes, crashedAt }: QuarantineEntry,
+    record: StoreEntry,
+    now: number,
+  ): boolean {
+    const content = readRecord(new TextDecoder().decode(record.value), now + maxClockSkew);
+    if (content === undefined || content.crashedAt < crashedAt) return false;
+    return crashes.every((crash) => content.crashes.includes(crash));
+  }
+
   private warn(message: string, fingerprint: Fingerprint, error?: unknown): void {
     this.context.log.write({
       level: 'warn',
--- a/src/daemon/CrashGuard.ts
+++ b/src/daemon/CrashGuard.ts
@@ -76,6 +76,11 @@
     this.timer = this.settings.clock.after(delay, () => this.start());
   }
 
+  /** Writes the reports of this daemon again after the store has lost its last changes. */
+  public rewrite(): void {
+    void this.quarantine.rewrite();
+  }
+
   /** Throws `NotRunError` for a request that was in flight at two crashes. */
   public check({ fingerprint }: GuardedRequest['context']): void {
     if (fingerprint === undefined || this.quarantine.statusOf(fingerprint) !== 'quarantined')
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -11,6 +11,7 @@
   type RandomSource,
   type StoreChange,
   type StoreEntry,
+  type StoreEpoch,
 } from '../api/index.js';
 import { Dispatcher } from '../common/dispatch/Dispatcher.js';
 import { Placement } from '../common/dispatch/Placement.js';
@@ -26,6 +27,7 @@
 import { SharedWatchStore } from '../common/fleet/SharedWatchStore.js';
 import { PrefixWatcher } from '../common/fleet/PrefixWatcher.js';
 import { Registration } from '../common/fleet/Registration.js';
+import { firstEpoch, positionOf, type StorePosition } from '../common/fleet/StorePosition.js';
 import { RelayedStore } from '../common/fleet/RelayedStore.js';
 import type { StoreMirror } from '../common/fleet/StoreMirror.js';
 import type { DaemonRecord, PolledStore, StoreSnapshot } from '../common/fleet/Types.js';
@@ -144,6 +146,18 @@
 
   private hasFleetSnapshot = false;
 
+  /** Epoch of the last snapshot of the fleet. */
+  private fleetEpoch = firstEpoch;
+
+  /** Epoch that the store or a relay named last. */
+  private epoch: StoreEpoch | undefined;
+
+  /** Epoch and content of the configuration that was read last. */
+  private readConfiguration: { readonly epoch: StoreEpoch; readonly value: Uint8Array } | undefined;
+
+  /** Number of times that the store came back from an older copy while this process ran. */
+  private restores = 0;
+
   private refreshAllowedAt = -Infinity;
 
   /** Milliseconds that the last change of the configuration had been in the store at most when it was read. */
@@ -412,6 +426,8 @@
       );
       newest.slice(-1).forEach(({ entry }) => this.applyConfiguration(entry));
     });
+    this.environment.store.onEpoch((epoch) => this.observeEpoch(epoch));
+    this.relayed.onEpoch((epoch) => this.observeEpoch(epoch));
     this.fleetWatcher.onSnapshot((snapshot) => this.replaceFleet(snapshot));
     this.fleetWatcher.onChanges((changes) => {
       changes.forEach((change) => this.changeFleet(change));
@@ -430,40 +446,67 @@
       });
       return;
     }
-    const { source = '', previousAge = Infinity } = this.relayed.lastRead(entry.key) ?? {};
+    const {
+      source = '',
+      previousAge = Infinity,
+      epoch = firstEpoch,
+    } = this.relayed.lastRead(entry.key) ?? {};
+    const before = this.readConfiguration;
+    this.readConfiguration = { epoch, value: entry.value };
+    // An operator whose last versions were lost may give their numbers out again.
+    const isReissued =
+      before !== undefined &&
+      epoch > before.epoch &&
+      Buffer.compare(entry.value, before.value) !== 0;
     // A process that has just started had no state that could be outdated.
     if (Number.isFinite(previousAge)) this.configurationDelay = Math.round(previousAge);
-    this.traffic.apply(decoded.right, {
-      revision: entry.modRevision,
-      source,
-      delay: this.configurationDelay,
-    });
+    const origin = { epoch, revision: entry.modRevision, source, delay: this.configurationDelay };
+    this.traffic.apply(decoded.right, origin, isReissued);
   }
 
-  private replaceFleet({ entries, revision }: StoreSnapshot): void {
+  private replaceFleet(snapshot: StoreSnapshot): void {
+    const { entries, epoch } = snapshot;
     const records = entries
       .filter(({ key }) => key.startsWith(daemonPrefix))
       .flatMap((entry) => this.readRecord(entry) ?? []);
-    this.directory.replaceAll(records);
+    if (this.hasFleetSnapshot && epoch > this.fleetEpoch) {
+      this.directory.replaceAllRestored(records);
+    } else {
+      this.directory.replaceAll(records);
+    }
     this.hasFleetSnapshot = true;
+    this.fleetEpoch = epoch;
     this.checkOwnRecord(
       records.find(({ daemon }) => daemon === this.settings.id),
-      revision,
+      positionOf(snapshot),
     );
   }
 
+  /** Handles a response of the store, direct or relayed, that names its epoch. */
+  private observeEpoch(epoch: StoreEpoch): void {
+    const before = this.epoch;
+    if (before !== undefined && epoch <= before) return;
+    this.epoch = epoch;
+    this.registration.observeEpoch(epoch);
+    if (before === undefined) return;
+    this.restores += 1;
+    this.crashGuard.rewrite();
+  }
+
   private changeFleet({ type, entry }: StoreChange): void {
     if (!entry.key.startsWith(daemonPrefix)) return;
     const daemon = brandAs<DaemonId>(entry.key.slice(daemonPrefix.length));
     const record = type === 'put' ? this.readRecord(entry) : undefined;
     if (record !== undefined) this.directory.put(record);
     else if (type === 'delete') this.directory.markUnlisted(daemon);
-    if (daemon === this.settings.id) this.checkOwnRecord(record, entry.modRevision);
+    if (daemon === this.settings.id) {
+      this.checkOwnRecord(record, { epoch: this.fleetEpoch, revision: entry.modRevision });
+    }
   }
 
-  /** Rewrites the record of this daemon if the store lost it; `revision` is that of the store when it was read. */
-  private checkOwnRecord(record: DaemonRecord | undefined, revision: number): void {
-    if (record?.incarnation !== this.incarnation) this.registration.markLost(revision);
+  /** Rewrites the record of this daemon if the store lost it; `position` is that of the store when it was read. */
+  private checkOwnRecord(record: DaemonRecord | undefined, position: StorePosition): void {
+    if (record?.incarnation !== this.incarnation) this.registration.markLost(position);
   }
 
   private readRecord(entry: StoreEntry): DaemonRecord | undefined {
@@ -586,6 +629,8 @@
       target_idle_milliseconds: Math.round(this.home.idleTime ?? 0),
       ...(rateLimit === undefined ? {} : { target_rate_limit: rateLimit }),
       store_in_touch: this.fleetWatcher.isConnected ? 1 : 0,
+      store_epoch: this.epoch ?? 0,
+      store_restores: this.restores,
       registered: this.registration.isWritten ? 1 : 0,
     };
   }
--- a/src/sidecar/TrafficState.ts
+++ b/src/sidecar/TrafficState.ts
@@ -48,13 +48,18 @@
     return O.toUndefined(this.table.find({ method: '', host, path }));
   }
 
-  /** Applies a version if it is newer; the log line also has the fields of `origin`. */
+  /**
+   * Applies a version if it is newer, or the current one if its content was written anew (`isReissued`); the log line also
+   * has the fields of `origin`.
+   */
   public apply(
     configuration: TrafficConfiguration,
     origin: Readonly<Record<string, number | string>> = {},
+    isReissued = false,
   ): void {
     const before = this.version;
-    const isNewer = configuration.version > before;
+    const isNewer =
+      configuration.version > before || (isReissued && configuration.version === before);
     this.log.write({
       level: 'info',
       kind: 'configuration',
--- a/src/sidecar/peer/RelayHttp.test.ts
+++ b/src/sidecar/peer/RelayHttp.test.ts
@@ -4,7 +4,13 @@
 import { gzipSync } from 'node:zlib';
 import { encode } from '@msgpack/msgpack';
 import { expect } from 'chai';
-import { brandAs, FleetError, type DaemonId, type StoreChange } from '../../api/index.js';
+import {
+  brandAs,
+  FleetError,
+  type DaemonId,
+  type StoreChange,
+  type StoreEpoch,
+} from '../../api/index.js';
 import type { RelayPoll } from '../../common/fleet/Types.js';
 import { StoreMirror } from '../../common/fleet/StoreMirror.js';
 import { SystemClock } from '../../node/SystemClock.js';
@@ -20,9 +26,10 @@
   type: 'put',
   entry: { key, value: Buffer.from(value), modRevision },
 });
+const epoch = brandAs<StoreEpoch>(4);
 const onProgress = (): void => {};
 const pollOf = (after: number, wait: number, age = 0): RelayPoll => ({
-  after,
+  after: { epoch, revision: after },
   age,
   wait,
   isFollower: true,
@@ -43,7 +50,7 @@
 
   beforeEach(async () => {
     mirror = new StoreMirror(clock);
-    mirror.replace({ entries: [put(prefix, 'one', 3).entry], revision: 5 }, 0);
+    mirror.replace({ entries: [put(prefix, 'one', 3).entry], epoch, revision: 5 }, 0);
     respond = undefined;
     encodings = 0;
     const handler = new RelayHttpServer({
@@ -80,20 +87,20 @@
   });
 
   it('brings changes across that came before the poll or during it', async () => {
-    mirror.add({ changes: [put(prefix, 'two', 7)], revision: 8 }, 0);
+    mirror.add({ epoch, changes: [put(prefix, 'two', 7)], revision: 8 }, 0);
     const first = await client.changes(relay, prefix, pollOf(5, 5_000), signal, onProgress);
     expect(describeChanges(first.changes)).to.deep.equal(['put op/config=two 7']);
     const poll = client.changes(relay, prefix, pollOf(first.revision, 5_000), signal, onProgress);
     const removal = { key: prefix, value: new Uint8Array(), modRevision: 9 };
     clock.after(20, () => {
-      mirror.add({ changes: [{ type: 'delete', entry: removal }], revision: 9 }, 0);
+      mirror.add({ epoch, changes: [{ type: 'delete', entry: removal }], revision: 9 }, 0);
     });
     expect(describeChanges((await poll).changes)).to.deep.equal(['delete op/config= 9']);
   });
 
   it('encodes a change once for followers that know different revisions, since compressing takes long on a small share of a core', async () => {
-    mirror.add({ changes: [], revision: 9 }, 0);
-    mirror.add({ changes: [put(prefix, 'two', 10)], revision: 12 }, 0);
+    mirror.add({ epoch, changes: [], revision: 9 }, 0);
+    mirror.add({ epoch, changes: [put(prefix, 'two', 10)], revision: 12 }, 0);
     const revisions = [5, 6, 7, 8, 9];
     await Promise.all(
       revisions.map((after) =>
@@ -138,7 +145,9 @@
     let told = 0;
     const arrive = (): void => mirror.recordProgress();
     for (let time = 50; time <= 1_000; time += 50) clock.after(time, arrive);
-    clock.after(1_050, () => mirror.add({ changes: [put(prefix, 'two', 7)], revision: 8 }, 0));
+    clock.after(1_050, () =>
+      mirror.add({ epoch, changes: [put(prefix, 'two', 7)], revision: 8 }, 0),
+    );
     const { changes } = await client.changes(relay, prefix, pollOf(5, 100), signal, () => {
       told += 1;
     });
@@ -148,7 +157,7 @@
 
   it('compresses a large configuration, since some links have 7 Mbit/s', async () => {
     const routes = Array.from({ length: 2_000 }, (_, index) => `{"name":"route-${index}"}`);
-    mirror.add({ changes: [put(prefix, routes.join(), 7)], revision: 8 }, 0);
+    mirror.add({ epoch, changes: [put(prefix, routes.join(), 7)], revision: 8 }, 0);
     let bytes = 0;
     server.on('connection', (socket) => {
       socket.once('close', () => {
--- a/src/sidecar/peer/RelayHttpClient.ts
+++ b/src/sidecar/peer/RelayHttpClient.ts
@@ -69,7 +69,8 @@
       path: relayPaths.changes,
       query: {
         prefix,
-        after: poll.after,
+        after: poll.after.revision,
+        epoch: poll.after.epoch,
         wait: poll.wait,
         age: Math.round(poll.age),
         keys: 1,
--- a/src/sidecar/peer/RelayHttpServer.ts
+++ b/src/sidecar/peer/RelayHttpServer.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Clock, LogSink } from '../../api/index.js';
+import { brandAs, type Clock, type LogSink, type StoreEpoch } from '../../api/index.js';
+import { RevisionCompactedError } from '../../common/fleet/errors.js';
 import { awaitNews } from '../../common/fleet/awaitNews.js';
 import type { StoreChanges } from '../../common/fleet/Types.js';
 import type { StoreMirror } from '../../common/fleet/StoreMirror.js';
@@ -34,9 +35,10 @@
   public handle(request: IncomingMessage, response: ServerResponse): void {
     request.resume();
     this.respond(request, response).catch((error: unknown) => {
-      this.logFailure(error);
+      const isCompacted = error instanceof RevisionCompactedError;
+      if (!isCompacted) this.logFailure(error);
       if (response.headersSent) response.destroy();
-      else this.end(response, unavailableStatus);
+      else this.end(response, isCompacted ? compactedStatus : unavailableStatus);
     });
   }
 
@@ -45,7 +47,7 @@
     const prefix = searchParams.get('prefix') ?? '';
     const isFollower = !searchParams.has('backup');
     const mirror = this.settings.mirror(prefix, isFollower);
-    if (mirror?.revision === undefined) {
+    if (mirror?.position === undefined) {
       this.end(response, unavailableStatus);
       return;
     }
@@ -55,17 +57,19 @@
       this.send(response, mirror, await this.encode(prefix, toChanges(snapshot)));
       return;
     }
-    const after = Number(searchParams.get('after') ?? NaN);
+    const revision = Number(searchParams.get('after') ?? NaN);
+    // Followers of older builds do not tell the epoch or the age of their state.
+    const epoch = Number(searchParams.get('epoch') ?? mirror.position.epoch);
     const wait = Math.min(Number(searchParams.get('wait') ?? NaN), maxWait);
-    // Followers of older builds do not tell the age of their state.
     const age = Number(searchParams.get('age') ?? 0);
-    const isValid = Number.isInteger(after) && wait >= 0 && age >= 0;
+    const isValid = Number.isInteger(revision) && Number.isInteger(epoch) && wait >= 0 && age >= 0;
     if (pathname !== relayPaths.changes || !isValid) {
       this.end(response, badRequestStatus);
       return;
     }
     const closed = new AbortController();
     response.once('close', () => closed.abort());
+    const after = { epoch: brandAs<StoreEpoch>(epoch), revision };
     const poll = { after, age, wait, isFollower };
     const progress = mirror.onProgress(this.createProgressListener(response));
     await awaitNews(mirror, poll, this.settings.clock, closed.signal);
@@ -91,9 +95,9 @@
 
   /** Encodes the same changes once, from whichever revisions the followers ask for them. */
   private encode(prefix: string, message: StoreChanges): Promise<Buffer> {
-    const { changes, revision, keys } = message;
+    const { changes, epoch, revision, keys } = message;
     const revisions = changes.map(({ entry }) => entry.modRevision);
-    const key = [prefix, revision, keys === undefined ? '' : 'keys', ...revisions].join(' ');
+    const key = [prefix, epoch, revision, keys === undefined ? '' : 'keys', ...revisions].join(' ');
     let content = this.cache.get(key);
     if (content === undefined) {
       content = this.settings.encode(message);
--- a/src/sidecar/peer/relayMessages.ts
+++ b/src/sidecar/peer/relayMessages.ts
@@ -2,7 +2,7 @@
 import { constants, gunzip, gzip } from 'node:zlib';
 import { promisify } from 'node:util';
 import { decode, encode } from '@msgpack/msgpack';
-import type { StoreChange } from '../../api/index.js';
+import type { StoreChange, StoreEpoch } from '../../api/index.js';
 import type { StoreChanges, StoreSnapshot } from '../../common/fleet/Types.js';
 
 /** Marks a request to follow the store. */
@@ -23,26 +23,27 @@
 type EncodedChange = readonly [key: string, revision: number, value: Uint8Array | null];
 
 interface EncodedChanges {
+  readonly epoch: number;
   readonly revision: number;
   readonly changes: readonly EncodedChange[];
   readonly keys?: readonly string[];
 }
 
 /** Encodes changes as compressed MessagePack. */
-export function encodeChanges({ changes, revision, keys }: StoreChanges): Promise<Buffer> {
+export function encodeChanges({ changes, epoch, revision, keys }: StoreChanges): Promise<Buffer> {
   const rows = changes.map(({ type, entry }): EncodedChange => [
     entry.key,
     entry.modRevision,
     type === 'put' ? entry.value : null,
   ]);
-  const message: EncodedChanges = { revision, changes: rows, ...(keys && { keys }) };
+  const message: EncodedChanges = { epoch, revision, changes: rows, ...(keys && { keys }) };
   const content = encode(message);
   return compress(content, { level: constants.Z_BEST_SPEED });
 }
 
 /** A snapshot as changes, which is how it is sent. */
-export function toChanges({ entries, revision }: StoreSnapshot): StoreChanges {
-  return { revision, changes: entries.map((entry) => ({ type: 'put', entry })) };
+export function toChanges({ entries, epoch, revision }: StoreSnapshot): StoreChanges {
+  return { epoch, revision, changes: entries.map((entry) => ({ type: 'put', entry })) };
 }
 
 function isChange(value: unknown): value is EncodedChange {
@@ -59,12 +60,14 @@
 /** Decodes changes; throws `RangeError` if they are invalid or too large. */
 export async function decodeChanges(content: Buffer): Promise<StoreChanges> {
   const value = decode(await decompress(content, { maxOutputLength: maxContentBytes }));
-  const { revision, changes, keys } = (value ?? {}) as Partial<EncodedChanges>;
+  const { epoch, revision, changes, keys } = (value ?? {}) as Partial<EncodedChanges>;
+  if (!Number.isInteger(epoch)) throw new RangeError('invalid epoch of a relay');
   if (!Number.isInteger(revision) || !Array.isArray(changes) || !changes.every(isChange)) {
     throw new RangeError('invalid message of a relay');
   }
   if (keys !== undefined && !isKeyList(keys)) throw new RangeError('invalid keys of a relay');
   return {
+    epoch: epoch as StoreEpoch,
     revision: revision as number,
     ...(keys && { keys }),
     changes: changes.map(([key, modRevision, bytes]): StoreChange => {
@@ -76,6 +79,6 @@
 
 /** Decodes a snapshot; throws `RangeError` if it is invalid or too large. */
 export async function decodeSnapshot(content: Buffer): Promise<StoreSnapshot> {
-  const { changes, revision } = await decodeChanges(content);
-  return { entries: changes.map(({ entry }) => entry), revision };
+  const { changes, epoch, revision } = await decodeChanges(content);
+  return { entries: changes.map(({ entry }) => entry), epoch, revision };
 }
--- a/src/testing/FakePolledStore.ts
+++ b/src/testing/FakePolledStore.ts
@@ -1,4 +1,4 @@
-import { StoreError } from '../api/index.js';
+import { brandAs, Emitter, StoreError } from '../api/index.js';
 import type {
   StoreCompare,
   StoreTransactionResult,
@@ -7,8 +7,10 @@
   Disposable,
   StoreChange,
   StoreEntry,
+  StoreEpoch,
 } from '../api/index.js';
 import { RevisionCompactedError, LeaseExpiredError } from '../common/fleet/errors.js';
+import type { StorePosition } from '../common/fleet/StorePosition.js';
 import type { PolledStore, StoreChanges, StoreSnapshot } from '../common/fleet/Types.js';
 
 interface StoredChange extends StoreChange {
@@ -60,7 +62,13 @@
 
   private nextLease = 1;
 
-  private currentEpoch = 1;
+  private currentEpoch = brandAs<StoreEpoch>(1);
+
+  private announcedEpoch: StoreEpoch | undefined;
+
+  private readonly epochEmitter = new Emitter<StoreEpoch>();
+
+  public readonly onEpoch = this.epochEmitter.event;
 
   private waiters = new Set<() => void>();
 
@@ -72,7 +80,7 @@
   }
 
   /** Rises each time the store comes back from an older copy. */
-  public get epoch(): number {
+  public get epoch(): StoreEpoch {
     return this.currentEpoch;
   }
 
@@ -84,7 +92,7 @@
 
   /** Goes back to an older copy: later changes and leases are gone, and their numbers are given out again. */
   public restore({ entries, leases, revision, nextLease }: FakeStoreCopy): void {
-    this.currentEpoch += 1;
+    this.currentEpoch = brandAs<StoreEpoch>(this.currentEpoch + 1);
     this.entries.clear();
     entries.forEach((entry, key) => this.entries.set(key, entry));
     this.leases.clear();
@@ -148,12 +156,12 @@
   public async snapshot(prefix: string): Promise<StoreSnapshot> {
     this.startCall('range');
     const entries = [...this.entries.values()].filter(({ key }) => key.startsWith(prefix));
-    return { entries, revision: this.revision };
+    return { entries, epoch: this.epoch, revision: this.revision };
   }
 
   public async changes(
     prefix: string,
-    after: number,
+    after: StorePosition,
     wait: number,
     signal: AbortSignal,
   ): Promise<StoreChanges> {
@@ -163,7 +171,7 @@
       await this.waitForChange(prefix, wait, signal);
     if (signal.aborted) throw this.createError('aborted', 'unknown');
     const changes = this.changesAfter(prefix, after);
-    return { changes, revision: this.revision };
+    return { changes, epoch: this.epoch, revision: this.revision };
   }
 
   public async transact(
@@ -227,6 +235,9 @@
     this.callCounts[call] = (this.callCounts[call] ?? 0) + 1;
     if (this.faults.isDown) throw this.createError('the store is down', 'not-applied');
     this.expireLeases();
+    if (this.announcedEpoch === this.epoch) return;
+    this.announcedEpoch = this.epoch;
+    this.epochEmitter.fire(this.epoch);
   }
 
   private createError(message: string, outcome: 'not-applied' | 'unknown'): StoreError {
@@ -239,8 +250,8 @@
     });
   }
 
-  private changesAfter(prefix: string, after: number): StoredChange[] {
-    if (after < this.compactedRevision || after > this.revision) {
+  private changesAfter(prefix: string, { epoch, revision: after }: StorePosition): StoredChange[] {
+    if (epoch !== this.epoch || after < this.compactedRevision || after > this.revision) {
       throw new RevisionCompactedError('the requested changes have been compacted', 'not-applied', {
         step: 'fake',
       });
--- a/src/testing/RelayedFleet.ts
+++ b/src/testing/RelayedFleet.ts
@@ -237,7 +237,7 @@
         const mirror = mirrorOf(id, poll.isFollower);
         if (mirror === undefined) return this.failAfter(poll.wait + relayTimeout, signal);
         await this.pass(latency);
-        if (mirror.revision === undefined) throw new FleetError('status 503', { step: 'test' });
+        if (mirror.position === undefined) throw new FleetError('status 503', { step: 'test' });
         const progress = mirror.onProgress(onProgress);
         await awaitNews(mirror, poll, this.clock, signal);
         progress.dispose();
