--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -101,3 +101,24 @@
     onProgress?: () => void,
   ): Promise<StoreChanges>;
 }
+
+/** A response of a relay with the milliseconds since the store confirmed it. */
+export type Aged<Content> = Content & { readonly age: number };
+
+/** Calls to the daemons that relay changes. Each throws `FleetError` if the relay does not respond in time. */
+export interface RelayClient {
+  snapshot(
+    daemon: DaemonId,
+    prefix: string,
+    signal: AbortSignal,
+    onProgress: () => void,
+  ): Promise<Aged<StoreSnapshot>>;
+  /** Throws `RevisionCompactedError` if the relay no longer knows the changes. */
+  changes(
+    daemon: DaemonId,
+    prefix: string,
+    poll: RelayPoll,
+    signal: AbortSignal,
+    onProgress: () => void,
+  ): Promise<Aged<StoreChanges>>;
+}
--- a/src/sidecar/peer/RelayHttpClient.ts
+++ b/src/sidecar/peer/RelayHttpClient.ts
@@ -1,8 +1,13 @@
 import { Agent, request as startRequest, type IncomingMessage } from 'node:http';
 import { FleetError, type DaemonId, type Disposable } from '../../api/index.js';
 import { RevisionCompactedError } from '../../common/fleet/errors.js';
-import type { Aged, RelayClient } from '../../common/fleet/RelayedStore.js';
-import type { RelayPoll, StoreChanges, StoreSnapshot } from '../../common/fleet/Types.js';
+import type {
+  Aged,
+  RelayClient,
+  RelayPoll,
+  StoreChanges,
+  StoreSnapshot,
+} from '../../common/fleet/Types.js';
 import { readLimited } from '../../daemon/streams.js';
 import {
   ageHeader,
--- a/src/testing/RelayedFleet.ts
+++ b/src/testing/RelayedFleet.ts
@@ -8,9 +8,9 @@
 } from '../common/base/index.js';
 import { awaitNews } from '../common/fleet/awaitNews.js';
 import { PrefixWatcher } from '../common/fleet/PrefixWatcher.js';
-import { RelayedStore, type RelayClient } from '../common/fleet/RelayedStore.js';
+import { RelayedStore } from '../common/fleet/RelayedStore.js';
 import type { StoreMirror } from '../common/fleet/StoreMirror.js';
-import type { StoreChanges, StoreSnapshot } from '../common/fleet/Types.js';
+import type { RelayClient, StoreChanges, StoreSnapshot } from '../common/fleet/Types.js';
 import { FakePolledStore } from './FakePolledStore.js';
 import { MemoryLog } from './MemoryLog.js';
 
