--- a/src/common/fleet/RelaySelector.test.ts
+++ b/src/common/fleet/RelaySelector.test.ts
@@ -121,6 +121,43 @@
     });
   });
 
+  const groups: readonly {
+    readonly name: string;
+    readonly self?: DaemonId;
+    readonly act?: (selector: RelaySelector) => void;
+    readonly backups: readonly string[];
+  }[] = [
+    {
+      name: 'the standbys, the store and the others, if it is none of these',
+      backups: ['2 3', 'store', '4', ''],
+    },
+    {
+      name: 'the store with the other standby, if it is a standby itself',
+      self: second,
+      backups: ['store 3 4', '', '5', ''],
+    },
+    {
+      name: 'the store on another connection, if it ranks first',
+      self: first,
+      backups: ['store 2 3', '', '4 5', ''],
+    },
+    {
+      name: 'no daemon that has failed lately',
+      act: (selector) => selector.recordFailure({ type: 'relay', daemon: second }),
+      backups: ['3 4', 'store', '', ''],
+    },
+  ];
+  groups.forEach(({ name, self = last, act, backups }) => {
+    it(`asks as backups ${name}`, () => {
+      const selector = new RelaySelector(self, key, () => ids, new VirtualClock());
+      act?.(selector);
+      const asked = selector.backups(selector.choose()).map((group) => group().map(nameOf));
+      const sorted = asked.map((names) => [...names].sort().reverse());
+      const expected = backups.map((names) => names.split(' ').filter(Boolean).sort().reverse());
+      expect(sorted).to.deep.equal(expected);
+    });
+  });
+
   it('has the same relay at all daemons', () => {
     const clock = new VirtualClock();
     const sources = [second, third, fourth, last].map((self) =>
--- a/src/common/fleet/StoreMirror.test.ts
+++ b/src/common/fleet/StoreMirror.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { brandAs, VirtualClock, type StoreEpoch } from '../base/index.js';
 import type { StoreChange } from '../services/Types.js';
+import { RevisionCompactedError } from './errors.js';
 import type { StorePosition } from './StorePosition.js';
 import { StoreMirror } from './StoreMirror.js';
 
@@ -12,7 +13,11 @@
   type: 'delete',
   entry: { key, value: new Uint8Array(), modRevision },
 });
-const epoch = brandAs<StoreEpoch>(1);
+const [earlier, epoch, later] = [1, 2, 3].map((value) => brandAs<StoreEpoch>(value)) as [
+  StoreEpoch,
+  StoreEpoch,
+  StoreEpoch,
+];
 const at = (revision: number): StorePosition => ({ epoch, revision });
 const describeChanges = (changes: readonly StoreChange[]): string[] =>
   changes.map(({ type, entry }) => `${type} ${entry.key} ${entry.modRevision}`);
@@ -100,6 +105,56 @@
     expect(mirror.snapshot?.entries.map(({ key }) => key)).to.deep.equal(['b']);
   });
 
+  const epochs: readonly {
+    readonly name: string;
+    readonly act: (mirror: StoreMirror) => unknown;
+    readonly keys: readonly string[];
+    readonly position: StorePosition;
+  }[] = [
+    {
+      name: 'takes a snapshot of a later epoch, although its revision is lower',
+      act: (mirror) =>
+        mirror.replace({ entries: [put('c', 2).entry], epoch: later, revision: 2 }, 0),
+      keys: ['c'],
+      position: { epoch: later, revision: 2 },
+    },
+    {
+      name: 'ignores a late snapshot of an earlier epoch',
+      act: (mirror) =>
+        mirror.replace({ entries: [put('c', 9).entry], epoch: earlier, revision: 9 }, 0),
+      keys: ['a', 'b'],
+      position: at(6),
+    },
+    {
+      name: 'ignores late changes of an earlier epoch',
+      act: (mirror) => mirror.add({ changes: [put('c', 9)], epoch: earlier, revision: 9 }, 0),
+      keys: ['a', 'b'],
+      position: at(6),
+    },
+    {
+      name: 'ignores changes of a later epoch, since others before them are unknown',
+      act: (mirror) => mirror.add({ changes: [put('c', 9)], epoch: later, revision: 9 }, 0),
+      keys: ['a', 'b'],
+      position: at(6),
+    },
+  ];
+  epochs.forEach(({ name, act, keys, position }) => {
+    it(name, () => {
+      const { mirror } = create();
+      act(mirror);
+      expect(mirror.snapshot?.entries.map(({ key }) => key)).to.deep.equal(keys);
+      expect(mirror.position).to.deep.equal(position);
+    });
+  });
+
+  it('sends a follower of an earlier epoch to the snapshot, and tells one of a later epoch nothing', () => {
+    const { mirror } = create();
+    expect(() => mirror.changesAfter({ epoch: earlier, revision: 6 })).to.throw(
+      RevisionCompactedError,
+    );
+    expect(mirror.changesAfter({ epoch: later, revision: 1 }).changes).to.deep.equal([]);
+  });
+
   it('counts its age from the time at which the store confirmed the state', () => {
     const { clock, mirror } = create();
     clock.advance(500);
--- a/src/sidecar/peer/RelayHttp.test.ts
+++ b/src/sidecar/peer/RelayHttp.test.ts
@@ -12,6 +12,7 @@
   type StoreEpoch,
 } from '../../api/index.js';
 import type { RelayPoll } from '../../common/fleet/Types.js';
+import { RevisionCompactedError } from '../../common/fleet/errors.js';
 import { StoreMirror } from '../../common/fleet/StoreMirror.js';
 import { SystemClock } from '../../node/SystemClock.js';
 import { MemoryLog } from '../../testing/MemoryLog.js';
@@ -141,6 +142,17 @@
     expect(status).to.equal(compactedStatus);
   });
 
+  it('brings the epoch across, and sends a follower of an earlier one to the snapshot', async () => {
+    const next = brandAs<StoreEpoch>(epoch + 1);
+    mirror.replace({ entries: [put(prefix, 'again', 2).entry], epoch: next, revision: 2 }, 0);
+    const error = await client
+      .changes(relay, prefix, pollOf(5, 100), signal, onProgress)
+      .then(undefined, (cause: unknown) => cause);
+    expect(error).to.be.instanceOf(RevisionCompactedError);
+    const snapshot = await client.snapshot(relay, prefix, signal, onProgress);
+    expect([snapshot.epoch, snapshot.revision]).to.deep.equal([next, 2]);
+  });
+
   it('waits longer for a relay that receives a newer state', async () => {
     let told = 0;
     const arrive = (): void => mirror.recordProgress();
