Move the configuration out of Sidecar

ConfigurationFollower reads the configuration, applies its versions and asks for a newer one that another daemon has; no change of behaviour.

--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -1,4 +1,3 @@
-import { isLeft, type Either } from 'fp-ts/lib/Either.js';
 import {
   brandAs,
   createIncarnation,
@@ -32,9 +31,9 @@
 import type { StoreMirror } from '../common/fleet/StoreMirror.js';
 import type { DaemonRecord, PolledStore, StoreSnapshot } from '../common/fleet/Types.js';
 import type { FleetRetryLimits } from '../common/retry/HomeRetryBudget.js';
-import type { TrafficConfiguration } from '../common/routing/TrafficTypes.js';
 import { CrashGuard } from '../daemon/CrashGuard.js';
 import { CallerServer } from './CallerServer.js';
+import { ConfigurationFollower, type ConfigurationSource } from './ConfigurationFollower.js';
 import { canConnect } from './canConnect.js';
 import { bufferSmallBody } from './bufferSmallBody.js';
 import { Home } from './Home.js';
@@ -76,25 +75,13 @@
 const earlyFleetBatchDelay = 300;
 /** Milliseconds between two removals of daemons that are gone. */
 const pruneInterval = 2_000;
-/** Milliseconds within which the own poll should bring a configuration that another daemon already has. */
-const refreshDelay = 400;
-/** Milliseconds between reads for a newer configuration, which may be gone from the store. */
-const refreshInterval = 1_500;
 /** Milliseconds for which a daemon that starts waits for the fleet before it reads the configuration. */
 const maxFleetWait = 500;
-/** Maximum age in the metrics, in milliseconds; before the first read it is infinite. */
-const maxReportedAge = 3_600_000;
 /** Maximum milliseconds for removing the own record from the store at the end of a stop. */
 const withdrawTimeout = 200;
 /** Milliseconds between checks of the requests in flight during a stop. */
 const drainPollInterval = 50;
 
-/** Store key and decoder of the traffic configuration. */
-export interface ConfigurationSource {
-  readonly key: string;
-  readonly decode: (value: Uint8Array) => Either<string, TrafficConfiguration>;
-}
-
 /** Dependencies on the process and the platform. */
 export interface SidecarEnvironment {
   readonly clock: Clock;
@@ -126,7 +113,7 @@
 
   private readonly registration: Registration;
 
-  private readonly configurationWatcher: PrefixWatcher;
+  private readonly configuration: ConfigurationFollower;
 
   private readonly fleetWatcher: PrefixWatcher;
 
@@ -152,17 +139,9 @@
   /** Epoch that the store or a relay named last. */
   private epoch: StoreEpoch | undefined;
 
-  /** Epoch and content of the configuration that was read last. */
-  private readConfiguration: { readonly epoch: StoreEpoch; readonly value: Uint8Array } | undefined;
-
   /** Number of times that the store came back from an older copy while this process ran. */
   private restores = 0;
 
-  private refreshAllowedAt = -Infinity;
-
-  /** Milliseconds that the last change of the configuration had been in the store at most when it was read. */
-  private configurationDelay = 0;
-
   public constructor(
     private settings: SidecarSettings,
     private readonly environment: SidecarEnvironment,
@@ -196,7 +175,16 @@
       }),
     );
     this.relayed = this.createRelayedStore();
-    this.configurationWatcher = this.createWatcher(environment.configuration.key, 0, 0);
+    this.configuration = this.disposables.add(
+      new ConfigurationFollower({
+        source: environment.configuration,
+        watcher: this.createWatcher(environment.configuration.key, 0, 0),
+        relayed: this.relayed,
+        traffic: this.traffic,
+        clock,
+        log,
+      }),
+    );
     this.fleetWatcher = this.createWatcher(fleetPrefix, fleetBatchDelay, earlyFleetBatchDelay);
     this.crashGuard = this.disposables.add(
       new CrashGuard({
@@ -213,7 +201,7 @@
       }),
     );
     const onVersion = (version: number, holder: DaemonId | undefined): void =>
-      this.refreshIfOlder(version, holder);
+      this.configuration.refreshIfOlder(version, holder);
     const onConditions = (reports: readonly ConditionReport[]): void => {
       this.home.adoptLimits(reports);
       this.directory.mergeConditions(reports);
@@ -263,7 +251,7 @@
     await this.homeServer.listen(settings.peer);
     await this.callerServer.listen(settings.callers);
     this.fleetWatcher.start();
-    this.startConfigurationWatcher();
+    this.startConfiguration();
     this.crashGuard.start();
     this.publish();
     this.schedulePrune();
@@ -398,11 +386,11 @@
   }
 
   /** Starts after the first snapshot of the fleet, which tells the daemons from which the configuration can be read. */
-  private startConfigurationWatcher(): void {
+  private startConfiguration(): void {
     const disposables = this.disposables.add(new DisposableStore());
     const start = (): void => {
       disposables.dispose();
-      this.configurationWatcher.start();
+      this.configuration.start();
     };
     disposables.add(this.fleetWatcher.onSnapshot(start));
     disposables.add(this.environment.clock.after(maxFleetWait, start));
@@ -414,18 +402,6 @@
   }
 
   private subscribe(): void {
-    const { configuration } = this.environment;
-    this.configurationWatcher.onSnapshot(({ entries }) => {
-      entries
-        .filter(({ key }) => key === configuration.key)
-        .forEach((entry) => this.applyConfiguration(entry));
-    });
-    this.configurationWatcher.onChanges((changes) => {
-      const newest = changes.filter(
-        ({ type, entry }) => type === 'put' && entry.key === configuration.key,
-      );
-      newest.slice(-1).forEach(({ entry }) => this.applyConfiguration(entry));
-    });
     this.environment.store.onEpoch((epoch) => this.observeEpoch(epoch));
     this.relayed.onEpoch((epoch) => this.observeEpoch(epoch));
     this.fleetWatcher.onSnapshot((snapshot) => this.replaceFleet(snapshot));
@@ -435,35 +411,6 @@
     this.home.onChange(() => this.publish());
   }
 
-  private applyConfiguration(entry: StoreEntry): void {
-    const decoded = this.environment.configuration.decode(entry.value);
-    if (isLeft(decoded)) {
-      this.environment.log.write({
-        level: 'error',
-        kind: 'configuration',
-        message: 'the configuration in the store cannot be read; the last one stays in force',
-        fields: { step: 'configuration.decode', key: entry.key, error: decoded.left },
-      });
-      return;
-    }
-    const {
-      source = '',
-      previousAge = Infinity,
-      epoch = firstEpoch,
-    } = this.relayed.lastRead(entry.key) ?? {};
-    const before = this.readConfiguration;
-    this.readConfiguration = { epoch, value: entry.value };
-    // An operator whose last versions were lost may give their numbers out again.
-    const isReissued =
-      before !== undefined &&
-      epoch > before.epoch &&
-      Buffer.compare(entry.value, before.value) !== 0;
-    // A process that has just started had no state that could be outdated.
-    if (Number.isFinite(previousAge)) this.configurationDelay = Math.round(previousAge);
-    const origin = { epoch, revision: entry.modRevision, source, delay: this.configurationDelay };
-    this.traffic.apply(decoded.right, origin, isReissued);
-  }
-
   private replaceFleet(snapshot: StoreSnapshot): void {
     const { entries, epoch } = snapshot;
     const records = entries
@@ -557,20 +504,6 @@
     );
   }
 
-  /** Reads the configuration from other sources if a peer still has a newer one soon, since the own poll may be stalled. */
-  private refreshIfOlder(version: number, holder: DaemonId | undefined): void {
-    const { clock, configuration } = this.environment;
-    if (version <= this.traffic.version || clock.elapsed() < this.refreshAllowedAt) return;
-    this.refreshAllowedAt = clock.elapsed() + refreshInterval;
-    this.disposables.add(
-      clock.after(refreshDelay, () => {
-        if (version <= this.traffic.version) return;
-        this.relayed.reportNewer(configuration.key, holder);
-        this.configurationWatcher.refresh();
-      }),
-    );
-  }
-
   /** Recent target conditions for other daemons, including that of the local target. */
   private collectConditions(): readonly ConditionReport[] {
     this.home.conditions.forEach(([target, condition]) => {
@@ -619,10 +552,8 @@
     return {
       ready: this.isReady ? 1 : 0,
       configuration_version: this.traffic.version,
-      configuration_delay_milliseconds: this.configurationDelay,
-      configuration_age_milliseconds: Math.round(
-        Math.min(this.relayed.ageOf(this.environment.configuration.key), maxReportedAge),
-      ),
+      configuration_delay_milliseconds: this.configuration.delay,
+      configuration_age_milliseconds: Math.round(this.configuration.age),
       known_daemons: this.directory.size,
       callers_in_flight: this.callerServer.load,
       home_in_flight: this.home.load,
