Apply a version whose number is given out again after the copy was read

What callers would see: after a return of the store, a version that the operator writes with a number in force and other content was ignored (404 for its routes) if the daemon had read the copy's older version before. Cause: the content to compare with was that of the last read, not that of the version in force. Class: comparing with what was seen last instead of with what is in use. Change: ConfigurationFollower remembers the version that it applied. Also one constant and two comments in one place instead of two.

--- a/src/common/fleet/awaitNews.ts
+++ b/src/common/fleet/awaitNews.ts
@@ -1,18 +1,18 @@
 import { DisposableStore, type Clock } from '../base/index.js';
+import { progressInterval } from './raceStages.js';
 import { firstEpoch } from './StorePosition.js';
 import type { StoreMirror } from './StoreMirror.js';
 import type { RelayPoll } from './Types.js';
 
 /** Milliseconds by which a confirmation must be newer than the follower's; smaller differences are transit times. */
 const minGain = 200;
-/** Milliseconds after a part of a newer state in which the next part should arrive. */
-const progressInterval = 300;
 /** Milliseconds beyond its wait for which a poll is held at most while a newer state arrives. */
 const maxExtension = 4_000;
 
 /**
- * Holds the poll of a follower until the mirror has a change or a later epoch for it, the store has confirmed the mirror more recently
- * than the follower's state, the wait is over, or `signal` is aborted. It is held longer while a newer state arrives.
+ * Holds the poll of a follower until the mirror has a change or a later epoch for it, the store has confirmed the mirror
+ * more recently than the follower's state, the wait is over, or `signal` is aborted. It is held longer while a newer state
+ * arrives.
  */
 export function awaitNews(
   mirror: StoreMirror,
--- a/src/common/fleet/raceStages.ts
+++ b/src/common/fleet/raceStages.ts
@@ -18,7 +18,7 @@
 ) => Promise<Result>;
 
 /** Milliseconds after a part of a response in which the next part should arrive. */
-const progressInterval = 300;
+export const progressInterval = 300;
 
 /** First success of a race. */
 export interface RaceWin<Contender, Result> {
@@ -141,8 +141,8 @@
 
 /**
  * Runs the contenders of one stage after the other until one succeeds, and aborts the others then. A stage is postponed
- * while a contender receives its response. Rejects with the first
- * error if all have failed, and at once if `signal` is aborted.
+ * while a contender receives its response. Rejects with the first error if all have failed, and at once if `signal` is
+ * aborted.
  */
 export function raceStages<Contender, Result>(
   stages: readonly RaceStage<Contender>[],
--- a/src/sidecar/ConfigurationFollower.ts
+++ b/src/sidecar/ConfigurationFollower.ts
@@ -43,8 +43,8 @@
 export class ConfigurationFollower implements Disposable {
   private readonly disposables = new DisposableStore();
 
-  /** Epoch and content of the configuration that was read last. */
-  private last: { readonly epoch: StoreEpoch; readonly value: Uint8Array } | undefined;
+  /** Epoch and content of the configuration in force. */
+  private inForce: { readonly epoch: StoreEpoch; readonly value: Uint8Array } | undefined;
 
   private lastDelay = 0;
 
@@ -113,16 +113,16 @@
       previousAge = Infinity,
       epoch = firstEpoch,
     } = relayed.lastRead(entry.key) ?? {};
-    const before = this.last;
-    this.last = { epoch, value: entry.value };
+    const { inForce } = this;
     // An operator whose last versions were lost may give their numbers out again.
     const isReissued =
-      before !== undefined &&
-      epoch > before.epoch &&
-      Buffer.compare(entry.value, before.value) !== 0;
+      inForce !== undefined &&
+      epoch > inForce.epoch &&
+      Buffer.compare(entry.value, inForce.value) !== 0;
     // A process that has just started had no state that could be outdated.
     if (Number.isFinite(previousAge)) this.lastDelay = Math.round(previousAge);
     const origin = { epoch, revision: entry.modRevision, source, delay: this.lastDelay };
-    traffic.apply(decoded.right, origin, isReissued);
+    const isApplied = traffic.apply(decoded.right, origin, isReissued);
+    if (isApplied) this.inForce = { epoch, value: entry.value };
   }
 }
--- a/src/sidecar/TrafficState.ts
+++ b/src/sidecar/TrafficState.ts
@@ -49,14 +49,14 @@
   }
 
   /**
-   * Applies a version if it is newer, or the current one if its content was written anew (`isReissued`); the log line also
-   * has the fields of `origin`.
+   * Applies a version if it is newer, or the current one if its content was written anew (`isReissued`), and returns whether
+   * it did; the log line also has the fields of `origin`.
    */
   public apply(
     configuration: TrafficConfiguration,
     origin: Readonly<Record<string, number | string>> = {},
     isReissued = false,
-  ): void {
+  ): boolean {
     const before = this.version;
     const isNewer =
       configuration.version > before || (isReissued && configuration.version === before);
@@ -72,9 +72,10 @@
         ...origin,
       },
     });
-    if (!isNewer) return;
+    if (!isNewer) return false;
     this.current = configuration;
     this.table = new RouteTable(configuration.routes);
     this.changeEmitter.fire(configuration);
+    return true;
   }
 }
