--- a/src/common/fleet/PrefixReader.ts
+++ b/src/common/fleet/PrefixReader.ts
@@ -122,7 +122,8 @@
   /** Reads all entries at first; later returns those that `changes` has read in place of the changes. */
   public async snapshot(): Promise<StoreSnapshot> {
     const { mirror } = this;
-    if (mirror.snapshot !== undefined) return mirror.snapshot;
+    const known = mirror.snapshot;
+    if (known !== undefined) return known;
     const { signal } = new AbortController();
     const { contender, result } = await raceStages(
       this.createStages(this.selector.choose(), { firstDelay: startStep, step: startStep }),
--- a/src/common/fleet/StoreMirror.ts
+++ b/src/common/fleet/StoreMirror.ts
@@ -12,11 +12,6 @@
   /** Last change of each key, oldest first. */
   private readonly latest = new Map<string, StoreChange>();
 
-  private readonly changeEmitter = new Emitter<void>();
-
-  /** Fires after new changes. */
-  public readonly onChange = this.changeEmitter.event;
-
   private readonly confirmEmitter = new Emitter<void>();
 
   /** Fires after each successful read, with or without changes. */
@@ -76,7 +71,6 @@
     this.compacted = revision;
     this.known = { epoch, revision };
     this.confirm(age);
-    this.changeEmitter.fire();
     this.confirmEmitter.fire();
   }
 
@@ -93,7 +87,6 @@
     all.forEach((change) => this.addChange(change));
     this.known = { epoch, revision: Math.max(this.known.revision, revision) };
     this.confirm(age);
-    if (all.length > 0) this.changeEmitter.fire();
     this.confirmEmitter.fire();
     return all;
   }
@@ -126,7 +119,6 @@
   }
 
   public dispose(): void {
-    this.changeEmitter.dispose();
     this.confirmEmitter.dispose();
     this.progressEmitter.dispose();
   }
--- a/src/common/fleet/Types.ts
+++ b/src/common/fleet/Types.ts
@@ -84,7 +84,7 @@
 
 /** Store whose changes are read by long polling. Every call can throw `StoreError`. */
 export interface PolledStore
-  extends Pick<Store, 'get' | 'transact' | 'grantLease' | 'keepAlive' | 'revokeLease'>, Disposable {
+  extends Pick<Store, 'get' | 'transact' | 'grantLease' | 'keepAlive'>, Disposable {
   /** Fires with the epoch of the first response, and of each later one with a higher epoch, before the call returns. */
   readonly onEpoch: Event<StoreEpoch>;
   /** Reads all entries under a prefix. */
@@ -113,7 +113,7 @@
     signal: AbortSignal,
     onProgress: () => void,
   ): Promise<Aged<StoreSnapshot>>;
-  /** Throws `RevisionCompactedError` if the relay no longer knows the changes. */
+  /** Throws `RevisionCompactedError` if the relay is in a later epoch. */
   changes(
     daemon: DaemonId,
     prefix: string,
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -402,7 +402,7 @@
   }
 
   private subscribe(): void {
-    this.environment.store.onEpoch((epoch) => this.observeEpoch(epoch));
+    this.disposables.add(this.environment.store.onEpoch((epoch) => this.observeEpoch(epoch)));
     this.relayed.onEpoch((epoch) => this.observeEpoch(epoch));
     this.fleetWatcher.onSnapshot((snapshot) => this.replaceFleet(snapshot));
     this.fleetWatcher.onChanges((changes) => {
--- a/src/testing/FakePolledStore.ts
+++ b/src/testing/FakePolledStore.ts
@@ -222,11 +222,6 @@
     leaseState.expiresAt = this.clock.elapsed() + leaseState.durationMs;
   }
 
-  public async revokeLease(lease: string): Promise<void> {
-    this.startCall('revoke');
-    this.expireLease(lease);
-  }
-
   public dispose(): void {
     this.notifyWaiters();
   }
