--- a/review/lib/backend.mjs
+++ b/review/lib/backend.mjs
@@ -156,7 +156,7 @@
     this.running += 1;
     this.runs.push({ id, at: now() });
     this.record.add('backend runs', { backend: this.id, id, path, bytes });
-    const { work, length = 200 } = this.workOf(path);
+    const { work, length = 200, sendTime = 0 } = this.workOf(path);
     const left = deadline - now();
     let hasEnded = false;
     const end = () => {
@@ -176,10 +176,34 @@
           'x-limpettrack-server-signature': `${this.id}.${id}`,
           'content-length': body.length,
         });
-        response.end(body);
-        end();
+        if (sendTime > 0 && body !== '') this.sendSlowly(response, body, sendTime, end);
+        else {
+          response.end(body);
+          end();
+        }
       },
       Math.min(work, left),
     );
   }
+
+  /** Sends two fifths of a large body at once and the rest over `sendTime` milliseconds. */
+  sendSlowly(response, body, sendTime, end) {
+    const pieces = 20;
+    const first = Math.ceil(body.length * 0.4);
+    const size = Math.ceil((body.length - first) / pieces);
+    response.write(body.slice(0, first));
+    let sent = first;
+    const timer = setInterval(() => {
+      if (response.destroyed) {
+        clearInterval(timer);
+        return;
+      }
+      response.write(body.slice(sent, sent + size));
+      sent += size;
+      if (sent < body.length) return;
+      clearInterval(timer);
+      response.end();
+      end();
+    }, sendTime / pieces);
+  }
 }
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -205,7 +205,16 @@
   }
 
   /** Sends a request; resolves to what was seen of its answer. */
-  send({ host, path, method = 'GET', deadline = 8_000, body, note = '', quiet = false }) {
+  send({
+    host,
+    path,
+    method = 'GET',
+    deadline = 8_000,
+    lookOn = deadline + 500,
+    body,
+    note = '',
+    quiet = false,
+  }) {
     this.count += 1;
     const id = `${this.prefix}${String(this.count).padStart(4, '0')}`;
     const [ip, port] = this.daemon.outbound.split(':');
@@ -249,7 +258,7 @@
       const timer = setTimeout(() => {
         finish('gave up');
         request.destroy();
-      }, deadline + 500);
+      }, lookOn);
       request.once('close', () => clearTimeout(timer));
       request.end(body);
     });
--- a/review/lib/proxy.mjs
+++ b/review/lib/proxy.mjs
@@ -45,6 +45,12 @@
     return this.connections.size;
   }
 
+  /** Like `silence`, and new connections get no answer either, as when the machine behind has no power. */
+  darken() {
+    this.isDark = true;
+    return this.silence();
+  }
+
   close() {
     this.server.close();
     this.connections.forEach(({ client, upstream }) => {
@@ -54,6 +60,12 @@
   }
 
   accept(client) {
+    if (this.isDark) {
+      client.on('data', () => {});
+      client.on('error', () => {});
+      this.connections.add({ client, upstream: client, isSilent: true });
+      return;
+    }
     const [host, port] = this.upstream.split(':');
     const upstream = connect(Number(port), host);
     const connection = { client, upstream, isSilent: false };
