--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")/../.." && exec node review/3/case.mjs
