Let the leaving backend of case 3 send heartbeats until the restart

Cause: the script ended the heartbeats when the daemon was told to stop, which a backend has no reason to do. Change: they go on until the old process has ended; the next one is late.

--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -89,10 +89,13 @@
   await sleep(stableWindow + 500);
 
   const [leaving] = backends;
-  leaving.stopBeats();
   if (hasTrouble) {
     left.signal('SIGTERM');
     await left.ended;
+  }
+  // The next heartbeat is the late one.
+  leaving.stopBeats();
+  if (hasTrouble) {
     left.spawn();
     await waitFor('the daemon is ready again', () => left.isReady());
   }
