--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -10,8 +10,8 @@
 const host = 'lots.example';
 /** More than this many connections closed without an answer break LOST. */
 const allowedLosses = 3;
-/** Id in the heartbeat of the other writer: an en dash where the backends have none. */
-const foreignId = 'i-02d9e6b4\u2013b';
+/** Id in the heartbeat of the other writer, with the replacement character for bytes that could not be read. */
+const foreignId = 'i-02d9\ufffdb4';
 
 /** Sends the heartbeat of another writer: a field is missing, and it names no backend that runs. */
 function sendForeignBeat(daemon) {
