Release the slot of a request whose entry has gone silent

Cause: the home takes a slot and then awaits the body without a limit. A connection that goes silent after `100 Continue` never delivers it, never closes, and the slot is lost until the process ends. The same holds for a response whose end an entry does not read: the timer of the target's request ends with the target's last byte, while the slot is released only once the response has been read.

Change: a body that makes no progress for 2 s, or is not complete at the timeout of its request, is refused as not run and what still arrives is ignored; an unread response ends at the timeout; HomeServer closes the connection of any exchange that outlasts its timeout, and heads have a time limit.

--- a/src/bench/scenarios/hop.ts
+++ b/src/bench/scenarios/hop.ts
@@ -21,6 +21,7 @@
 import { HomeServer } from '../../sidecar/HomeServer.js';
 import { newestPeerEncoding, PeerCodecs } from '../../sidecar/peer/peerCodecs.js';
 import { PeerHttpClient } from '../../sidecar/PeerHttpClient.js';
+import type { BodyProvider } from '../../sidecar/Types.js';
 import { quantile, summarise } from '../Statistics.js';
 import type { Row, Scenario } from '../Types.js';
 
@@ -103,8 +104,8 @@
   const clock = new SystemClock();
   const log = { write: () => {} };
   const home = {
-    run: async (_request: unknown, readBody: () => Promise<Buffer>) => {
-      await readBody();
+    run: async (_request: unknown, readBody: BodyProvider) => {
+      await readBody(() => {});
       return { status: 200, headers: answerHeaders, body: Readable.from([answerBody]) };
     },
   };
@@ -121,6 +122,7 @@
   };
   const codecs = new PeerCodecs('request-id');
   const server = new HomeServer({
+    clock,
     home,
     codecs,
     version: () => 1,
--- a/src/common/base/index.ts
+++ b/src/common/base/index.ts
@@ -6,3 +6,4 @@
 export * from './Random.js';
 export * from './Types.js';
 export * from './VirtualClock.js';
+export * from './ProgressTimer.js';
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -3,6 +3,7 @@
 import {
   Emitter,
   NotRunError,
+  ProgressTimer,
   type Clock,
   type Disposable,
   type LogSink,
@@ -37,6 +38,13 @@
 const reviewInterval = 150;
 /** Milliseconds between checks for idle targets. */
 const usageCheckInterval = 500;
+/**
+ * Milliseconds without a byte of a body after which its connection counts as silent. TCP has retransmitted a lost segment
+ * three times by then.
+ */
+const bodyIdleTimeout = 2_000;
+/** Milliseconds beyond the timeout of a request until its response is cut if the entry has not read it. */
+const unreadTimeout = 100;
 const firstServerError = 500;
 
 const refusalReasons: Readonly<Record<SlotRefusal['reason'], RefusalReason>> = {
@@ -50,6 +58,8 @@
 interface SentRequest {
   readonly running: RunningRequest;
   readonly guarded: GuardedRequest;
+  /** Time at which the entry no longer needs the response. */
+  readonly timeoutAt: number;
 }
 
 /** Dependencies of `Home`. */
@@ -300,7 +310,7 @@
     }
     const permit = result.right;
     try {
-      const body = await receiveBody();
+      const body = await this.receive(hosted, request, receiveBody, started);
       // The target may have started draining while the body was received.
       this.findTarget(request);
       if (signal.aborted) throw this.refuse(hosted, 'cancelled', request);
@@ -312,6 +322,26 @@
     }
   }
 
+  /** Receives the body of a request that holds a slot; refuses the request if its connection goes silent. */
+  private receive(
+    hosted: HostedTarget,
+    request: HomeRequest,
+    receiveBody: BodyProvider,
+    started: number,
+  ): Promise<Buffer> {
+    const { clock } = this.settings;
+    const total = request.timeout - (clock.elapsed() - started);
+    return new Promise((resolve, reject) => {
+      const timer = new ProgressTimer(clock, { idle: bodyIdleTimeout, total }, () => {
+        // What still arrives is ignored, so that the refusal stays true.
+        reject(this.refuse(hosted, 'deadline', request));
+      });
+      receiveBody(() => timer.recordProgress())
+        .then(resolve, reject)
+        .finally(() => timer.dispose());
+    });
+  }
+
   private findTarget(request: HomeRequest): HostedTarget {
     const hosted = this.hosted.get(request.target as TargetId);
     if (hosted === undefined || targetIncarnation(hosted.report) !== request.incarnation) {
@@ -343,6 +373,7 @@
     signal: AbortSignal,
   ): Promise<StreamedResponse> {
     const guarded = this.guard(hosted, request, body);
+    const timeoutAt = this.settings.clock.elapsed() + timeout;
     const latencies = this.latenciesOf(request);
     const running = hosted.health.start(latencies);
     hosted.usage.recordStart();
@@ -350,10 +381,11 @@
     else this.budget.recordFirstAttempt();
     try {
       const answer = await hosted.connection.send(request, body, timeout, signal);
-      return this.streamBody(hosted, request, answer, { running, guarded }, permit, signal);
+      const run = { running, guarded, timeoutAt };
+      return this.streamBody(hosted, request, answer, run, permit, signal);
     } catch (failure) {
       if (!(failure instanceof TargetFailure)) throw failure;
-      this.recordOutcome(hosted, request, { running, guarded }, failure.kind);
+      this.recordOutcome(hosted, request, { running, guarded, timeoutAt }, failure.kind);
       if (failure.error instanceof HomeRefusalError) {
         const { reason, details } = failure.error;
         throw this.refuse(hosted, reason, request, undefined, details.hasReachedTarget);
@@ -389,8 +421,14 @@
     permit: SlotPermit,
     signal: AbortSignal,
   ): StreamedResponse {
+    const { clock } = this.settings;
     const body = new PassThrough();
+    // The target may have sent all of a response that a silent entry never reads.
+    const timer = clock.after(run.timeoutAt + unreadTimeout - clock.elapsed(), () => {
+      body.destroy();
+    });
     pipeline(answer.body, body, (error) => {
+      timer.dispose();
       permit.release();
       const isCancelled = signal.aborted || error?.code === 'ERR_STREAM_PREMATURE_CLOSE';
       const whole: OutcomeKind = answer.status >= firstServerError ? 'server-error' : 'success';
--- a/src/sidecar/HomeServer.test.ts
+++ b/src/sidecar/HomeServer.test.ts
@@ -10,6 +10,7 @@
   type Region,
 } from '../api/index.js';
 import type { DaemonRecord } from '../common/fleet/Types.js';
+import { SystemClock } from '../node/SystemClock.js';
 import { MemoryLog } from '../testing/MemoryLog.js';
 import { waitUntil } from '../testing/waitUntil.js';
 import { HomeServer } from './HomeServer.js';
@@ -51,7 +52,7 @@
       waiting.push(entry);
     });
     try {
-      await receiveBody();
+      await receiveBody(() => {});
       if (entry !== undefined) entry.hasRun = true;
     } catch (error) {
       if (entry !== undefined) entry.hasFailed = true;
@@ -63,6 +64,7 @@
   const start = async (isRelay: boolean): Promise<void> => {
     waiting = [];
     server = new HomeServer({
+      clock: new SystemClock(),
       home: { run },
       codecs: new PeerCodecs('id'),
       relay: isRelay
--- a/src/sidecar/HomeServer.ts
+++ b/src/sidecar/HomeServer.ts
@@ -1,7 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { buffer } from 'node:stream/consumers';
 import { pipeline } from 'node:stream';
-import { brandAs, type DaemonId, type Disposable, type LogSink } from '../api/index.js';
+import { brandAs, type Clock, type DaemonId, type Disposable, type LogSink } from '../api/index.js';
 import {
   HomeRefusalError,
   type ConditionReport,
@@ -9,6 +8,7 @@
   type TargetCondition,
 } from '../common/dispatch/Types.js';
 import { pairHeaders } from '../daemon/Headers.js';
+import { readLimited } from '../daemon/streams.js';
 import { listen } from '../node/listen.js';
 import { encodeRecord, recordVersion } from '../common/fleet/daemonRecords.js';
 import type { DaemonRecord } from '../common/fleet/Types.js';
@@ -22,6 +22,10 @@
 const keepAliveTimeout = 60_000;
 /** Maximum bytes of the request headers, including the request metadata. */
 const maxHeaderSize = 96 * 1024;
+/** Milliseconds from the first byte of a request head to its end; both daemons are on VMs of one fleet. */
+const headersTimeout = 10_000;
+/** Milliseconds beyond the timeout of a request until its connection is closed, so that a last response can leave. */
+const exchangeSlack = 300;
 const refusalStatus = 503;
 const outcomeUnknownStatus = 502;
 const badRequestStatus = 400;
@@ -48,6 +52,7 @@
 
 /** Dependencies of `HomeServer`. */
 export interface HomeServerSettings {
+  readonly clock: Clock;
   readonly home: Pick<Home, 'run'>;
   readonly codecs: PeerCodecs;
   /** Handles a request of a daemon that follows the store through this one; without it such requests are rejected. */
@@ -72,7 +77,7 @@
   private inFlight = 0;
 
   public constructor(private readonly settings: HomeServerSettings) {
-    const options = { keepAliveTimeout, maxHeaderSize, requestTimeout: 0, headersTimeout: 0 };
+    const options = { keepAliveTimeout, maxHeaderSize, requestTimeout: 0, headersTimeout };
     this.server = createServer(options, (request, response) => {
       this.handle(request, response, false);
     });
@@ -140,16 +145,42 @@
       ),
     };
     const exchange = { homeRequest, request, response, expectsContinue, codec, peerRequest };
+    this.limitDuration(exchange);
     this.serve(exchange).catch((error: unknown) => this.sendFailure(exchange, error));
   }
 
+  /** Closes the connection of an exchange that does not end: once the entry no longer waits, it is silent or cut off. */
+  private limitDuration({ homeRequest, request, response }: Exchange): void {
+    const { clock, log } = this.settings;
+    const timer = clock.after(homeRequest.timeout + exchangeSlack, () => {
+      if (response.writableFinished && request.complete) return;
+      log.write({
+        level: 'info',
+        kind: 'route',
+        message: 'closed the connection of an exchange that did not end within its timeout',
+        fields: {
+          step: 'home.timeout',
+          request: homeRequest.id,
+          entry: homeRequest.entry,
+          timeout: homeRequest.timeout,
+          hasBody: request.complete,
+          hasResponse: response.headersSent,
+        },
+      });
+      request.socket.destroy();
+    });
+    response.once('close', () => {
+      if (request.complete) timer.dispose();
+    });
+  }
+
   private async serve(exchange: Exchange): Promise<void> {
     const { homeRequest, request, response, expectsContinue } = exchange;
     const abort = new AbortController();
     response.once('close', () => abort.abort());
-    const receiveBody = (): Promise<Buffer> => {
+    const receiveBody = (onProgress: () => void): Promise<Buffer> => {
       if (expectsContinue) response.writeContinue();
-      return buffer(request);
+      return readLimited(request, Infinity, onProgress);
     };
     const answer = await this.settings.home.run(homeRequest, receiveBody, abort.signal);
     this.writeHead(exchange, answer.status, answer.headers, { condition: answer.condition });
@@ -202,9 +233,11 @@
       return;
     }
     request.resume();
-    const headers: readonly HeaderPair[] = [['content-length', '0']];
+    const headers: HeaderPair[] = [['content-length', '0']];
     if (error instanceof HomeRefusalError) {
       const { condition, retryAfter, hasReachedTarget = false } = error.details;
+      // Without the rest of the body, the connection cannot be used again.
+      if (error.reason === 'deadline' && !request.complete) headers.push(['connection', 'close']);
       const failure = {
         type: 'refused',
         reason: error.reason,
--- a/src/sidecar/PeerHttpClient.test.ts
+++ b/src/sidecar/PeerHttpClient.test.ts
@@ -180,6 +180,7 @@
   const records: DaemonRecord[] = [];
   const codecs = new PeerCodecs(requestIdHeader);
   const server = new HomeServer({
+    clock: new SystemClock(),
     home: {
       run: async (request) => {
         received.push(request);
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -223,6 +223,7 @@
     );
     this.homeServer = this.disposables.add(
       new HomeServer({
+        clock,
         home: this.home,
         codecs,
         relay: this.createRelayHandler(),
--- a/src/sidecar/Types.ts
+++ b/src/sidecar/Types.ts
@@ -59,8 +59,8 @@
   readonly headers: readonly HeaderPair[];
 }
 
-/** Receives the body of a request; called once the request has a slot. */
-export type BodyProvider = () => Promise<Buffer>;
+/** Receives the body of a request; called once the request has a slot. Calls `onProgress` for each part that arrives. */
+export type BodyProvider = (onProgress: () => void) => Promise<Buffer>;
 
 /** Response of a target with a streamed body. */
 export type StreamedResponse = TargetAnswer & { readonly body: Readable };
--- a/src/sidecar/endlessResponses.test.ts
+++ b/src/sidecar/endlessResponses.test.ts
@@ -314,6 +314,7 @@
     });
     const codecs = new PeerCodecs(names.requestId);
     server = new HomeServer({
+      clock,
       home,
       codecs,
       version: () => 1,
