Keep an acknowledged departure binding after a restart

Cause: the end of a target was remembered only if the process that acknowledged it knew the target, so that a late announcement added it again. The same held for a newer incarnation than the known one, for every process that started after the acknowledgement (a departure or a drain was in the memory of the one that ended), and after 64 further ends.

Change: the registry remembers the newest incarnation that ended whether it knew it or not; a deregistration without a start time at a process that does not know the target ends every incarnation started by then.

--- a/src/common/fleet/TargetRegistry.test.ts
+++ b/src/common/fleet/TargetRegistry.test.ts
@@ -71,6 +71,83 @@
     });
   });
 
+  const departures: readonly {
+    readonly name: string;
+    /** Start time of the incarnation that runs when the target leaves; undefined if none is known. */
+    readonly known?: number;
+    readonly leave: (registry: TargetRegistry) => void;
+    readonly next: Partial<TargetReport>;
+    readonly effect: string;
+  }[] = [
+    {
+      name: 'a late report of a target that was unknown when it ended',
+      leave: (registry) => registry.remove(id, 1_000),
+      next: {},
+      effect: 'stale',
+    },
+    {
+      name: 'a late report of an earlier incarnation of a target that was unknown when it ended',
+      leave: (registry) => registry.remove(id, 1_000),
+      next: { startedAt: 900 },
+      effect: 'stale',
+    },
+    {
+      name: 'a report of an incarnation that started after the unknown one had ended',
+      leave: (registry) => registry.remove(id, 1_000),
+      next: { startedAt: 1_001, sequence: 1 },
+      effect: 'added',
+    },
+    {
+      name: 'a late report of an ended incarnation of which only an earlier one was known',
+      known: 1_000,
+      leave: (registry) => registry.remove(id, 2_000),
+      next: { startedAt: 2_000, sequence: 1 },
+      effect: 'stale',
+    },
+    {
+      name: 'a late report of a target that an earlier process knew to leave',
+      leave: (registry) => registry.restoreDeparture(id, 1_000),
+      next: {},
+      effect: 'stale',
+    },
+    {
+      name: 'a drain of a target that an earlier process knew to leave',
+      leave: (registry) => registry.restoreDeparture(id, 1_000),
+      next: { state: 'draining' },
+      effect: 'added',
+    },
+    {
+      name: 'a report of an incarnation after the one that an earlier process knew to leave',
+      leave: (registry) => registry.restoreDeparture(id, 1_000),
+      next: { startedAt: 3_000, sequence: 1 },
+      effect: 'added',
+    },
+  ];
+  departures.forEach(({ name, known, leave, next, effect }) => {
+    it(`treats ${name} as ${effect}`, () => {
+      const registry = new TargetRegistry();
+      if (known !== undefined) registry.record(report({ startedAt: known }));
+      leave(registry);
+      expect(registry.record(report(next)).type).to.equal(effect);
+    });
+  });
+
+  it('drains a target that reported before it was known that it had left an earlier process', () => {
+    const registry = new TargetRegistry();
+    registry.record(report());
+    expect(registry.restoreDeparture(id, 1_000)?.state).to.equal('draining');
+    expect(registry.record(report({ sequence: 6 })).type).to.equal('stale');
+  });
+
+  it('remembers the end of a target while hundreds of unknown ones end', () => {
+    const registry = new TargetRegistry();
+    registry.remove(id, 1_000);
+    for (let index = 0; index < 500; index += 1) {
+      registry.remove(brandAs<TargetId>(`other-${index}`), 1_000);
+    }
+    expect(registry.record(report()).type).to.equal('stale');
+  });
+
   it('does not undo a drain within one incarnation', () => {
     const registry = new TargetRegistry();
     registry.record(report({ state: 'draining' }));
--- a/src/common/fleet/TargetRegistry.ts
+++ b/src/common/fleet/TargetRegistry.ts
@@ -1,15 +1,7 @@
 import { brandAs, type Incarnation, type TargetId } from '../base/index.js';
+import { NewestStarts } from './NewestStarts.js';
 import type { TargetReport } from './Types.js';
 
-/** Number of ended targets that are kept, so that a late report does not add one again. */
-const maxEnded = 64;
-
-/** Last report of a target. */
-interface RegisteredTarget {
-  readonly report: TargetReport;
-  readonly hasEnded: boolean;
-}
-
 /** Effect of a report. */
 export type ReportEffect =
   | { readonly type: 'added' | 'updated' | 'replaced' | 'drained'; readonly report: TargetReport }
@@ -27,67 +19,78 @@
 
 /** Targets of this home by their latest report; reports that arrive late or twice are ignored. */
 export class TargetRegistry {
-  private readonly entries = new Map<TargetId, RegisteredTarget>();
+  private readonly reports = new Map<TargetId, TargetReport>();
+
+  /** Targets that deregistered, whether they were known or not. */
+  private readonly ended = new NewestStarts();
+
+  /** Targets that started to leave while an earlier process of this daemon ran. */
+  private readonly departed = new NewestStarts();
 
   /** Targets that have not ended. */
   public get targets(): readonly TargetReport[] {
-    return [...this.entries.values()]
-      .filter(({ hasEnded }) => !hasEnded)
-      .map(({ report }) => report);
+    return [...this.reports.values()];
+  }
+
+  /** Start time of the newest known incarnation of a target, running or ended; undefined if none is known. */
+  public newestStart(id: TargetId): number | undefined {
+    return this.reports.get(id)?.startedAt ?? this.ended.get(id);
   }
 
   /** Applies a report and returns its effect. */
   public record(report: TargetReport): ReportEffect {
-    const known = this.entries.get(report.id);
+    if (this.ended.includes(report)) return { type: 'stale' };
+    if (report.state === 'ready' && this.departed.includes(report)) return { type: 'stale' };
+    const known = this.reports.get(report.id);
     if (known !== undefined) {
-      if (isOlder(report, known.report)) return { type: 'stale' };
-      if (known.report.startedAt === report.startedAt) return this.update(known, report);
+      if (isOlder(report, known)) return { type: 'stale' };
+      if (known.startedAt === report.startedAt) return this.update(known, report);
     }
-    this.entries.set(report.id, { report, hasEnded: false });
-    return { type: known === undefined || known.hasEnded ? 'added' : 'replaced', report };
+    this.reports.set(report.id, report);
+    return { type: known === undefined ? 'added' : 'replaced', report };
   }
 
   /**
-   * Marks a target as ended and returns its last report; undefined if it is unknown or a later incarnation runs.
-   * `startedAt` identifies the incarnation that ends, if known.
+   * Marks a target as ended, up to the incarnation that started at `startedAt`, and returns its last report; undefined if
+   * it is unknown or a later incarnation runs. Reports of an ended incarnation are ignored even if it was unknown.
    */
-  public remove(id: TargetId, startedAt?: number): TargetReport | undefined {
-    const known = this.entries.get(id);
-    if (known === undefined || known.hasEnded) return undefined;
-    if (startedAt !== undefined && startedAt < known.report.startedAt) return undefined;
-    this.entries.delete(id);
-    this.entries.set(id, { report: known.report, hasEnded: true });
-    this.removeOldestEnded();
-    return known.report;
+  public remove(id: TargetId, startedAt: number): TargetReport | undefined {
+    this.ended.add(id, startedAt);
+    const known = this.reports.get(id);
+    if (known === undefined || startedAt < known.startedAt) return undefined;
+    this.reports.delete(id);
+    return known;
   }
 
   /**
    * Marks an incarnation as draining, whatever it announces later; undefined if another one is known or it drains already.
    */
   public drain(id: TargetId, startedAt: number): TargetReport | undefined {
-    const known = this.entries.get(id);
-    if (known === undefined || known.hasEnded || known.report.startedAt !== startedAt) {
-      return undefined;
-    }
-    if (known.report.state === 'draining') return undefined;
-    const report: TargetReport = { ...known.report, state: 'draining' };
-    this.entries.set(id, { report, hasEnded: false });
+    const known = this.reports.get(id);
+    if (known?.startedAt !== startedAt || known.state === 'draining') return undefined;
+    const report: TargetReport = { ...known, state: 'draining' };
+    this.reports.set(id, report);
     return report;
   }
 
-  private update(known: RegisteredTarget, report: TargetReport): ReportEffect {
-    // Within one incarnation, a target cannot return after it has ended or started to drain.
-    if (known.hasEnded) return { type: 'stale' };
-    if (known.report.state === 'draining' && report.state !== 'draining') return { type: 'stale' };
-    this.entries.set(report.id, { report, hasEnded: false });
-    if (report.state !== known.report.state) return { type: 'drained', report };
-    const isSame = report.address === known.report.address && report.slots === known.report.slots;
-    return isSame ? { type: 'repeated' } : { type: 'updated', report };
+  /**
+   * Records that a target started to leave before this process started, up to the incarnation that started at `startedAt`.
+   * Returns its report as draining if it was taken for ready.
+   */
+  public restoreDeparture(id: TargetId, startedAt: number): TargetReport | undefined {
+    this.departed.add(id, startedAt);
+    const known = this.reports.get(id);
+    return known !== undefined && this.departed.includes(known)
+      ? this.drain(id, known.startedAt)
+      : undefined;
   }
 
-  private removeOldestEnded(): void {
-    const ended = [...this.entries].filter(([, { hasEnded }]) => hasEnded);
-    const [oldest] = ended;
-    if (ended.length > maxEnded && oldest !== undefined) this.entries.delete(oldest[0]);
+  private update(known: TargetReport, report: TargetReport): ReportEffect {
+    // Within one incarnation, a target cannot return after it has started to drain.
+    if (known.state === 'draining' && report.state !== 'draining') return { type: 'stale' };
+    this.reports.set(report.id, report);
+    if (report.state !== known.state) return { type: 'drained', report };
+    const isSame = report.address === known.address && report.slots === known.slots;
+    return isSame ? { type: 'repeated' } : { type: 'updated', report };
   }
 }
--- a/src/common/fleet/daemonRecords.ts
+++ b/src/common/fleet/daemonRecords.ts
@@ -20,7 +20,8 @@
   return JSON.stringify(record);
 }
 
-function isName(value: unknown): value is string {
+/** Whether a value is a usable id or name. */
+export function isName(value: unknown): value is string {
   return typeof value === 'string' && value !== '' && value.length <= maxNameLength;
 }
 
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -19,6 +19,7 @@
   type TargetCondition,
 } from '../common/dispatch/Types.js';
 import { TargetRegistry, targetIncarnation } from '../common/fleet/TargetRegistry.js';
+import type { Departure } from '../common/fleet/DepartureRecorder.js';
 import type { PublishedTarget, TargetReport } from '../common/fleet/Types.js';
 import { logit, type RunningRequest } from '../common/health/HealthEstimator.js';
 import { HomeRetryBudget, type FleetRetryLimits } from '../common/retry/HomeRetryBudget.js';
@@ -96,6 +97,11 @@
 
   private readonly outcomeEmitter = new Emitter<GuardedOutcome>();
 
+  private readonly departureEmitter = new Emitter<Departure>();
+
+  /** Fires when a target announces that it leaves, before it gets the acknowledgement. */
+  public readonly onDeparture = this.departureEmitter.event;
+
   /** Fires before a request is sent to a target. */
   public readonly onStart = this.startEmitter.event;
 
@@ -176,9 +182,15 @@
     return true;
   }
 
-  /** Removes a target that deregistered; `startedAt` identifies its incarnation. */
+  /**
+   * Removes a target that deregistered; `startedAt` identifies its incarnation, if it says. Of an unknown target, every
+   * incarnation that has started by now is taken to have ended.
+   */
   public removeTarget(id: TargetId, startedAt?: number): void {
-    const report = this.registry.remove(id, startedAt);
+    const newest =
+      startedAt ?? this.registry.newestStart(id) ?? this.settings.clock.now().getTime();
+    const report = this.registry.remove(id, newest);
+    this.departureEmitter.fire({ id, startedAt: newest });
     this.write('info', 'target deregistered', {
       target: id,
       startedAt,
@@ -191,6 +203,20 @@
     this.changeEmitter.fire();
   }
 
+  /** Applies departures that an earlier process of this daemon acknowledged. */
+  public restoreDepartures(departures: readonly Departure[]): void {
+    departures.forEach(({ id, startedAt }) => {
+      const report = this.registry.restoreDeparture(id, startedAt);
+      const hosted = this.hosted.get(id);
+      if (report === undefined || hosted === undefined) return;
+      this.write('warn', 'target leaves, as an earlier process of this daemon acknowledged', {
+        target: id,
+        startedAt,
+      });
+      this.applyDrain(hosted, report);
+    });
+  }
+
   /**
    * Takes over the rate limits that other daemons report of targets which have not yet responded to this daemon since it
    * started.
@@ -235,6 +261,7 @@
     this.changeEmitter.dispose();
     this.startEmitter.dispose();
     this.outcomeEmitter.dispose();
+    this.departureEmitter.dispose();
   }
 
   private updateTarget(report: TargetReport, type: string): void {
@@ -259,6 +286,7 @@
     }
     if (report.state === 'draining') {
       this.hosted.get(report.id)?.evictQueue();
+      this.departureEmitter.fire({ id: report.id, startedAt: report.startedAt });
     }
     this.changeEmitter.fire();
   }
@@ -279,6 +307,11 @@
     const report = this.registry.drain(id, startedAt);
     if (report === undefined || this.hosted.get(id) !== hosted) return;
     this.write('info', 'target says in a response that it leaves', { target: id, startedAt });
+    this.applyDrain(hosted, report);
+  }
+
+  private applyDrain(target: HostedTarget, report: TargetReport): void {
+    const hosted = target;
     hosted.report = report;
     hosted.evictQueue();
     this.changeEmitter.fire();
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -12,6 +12,7 @@
   type StoreEntry,
   type StoreEpoch,
 } from '../api/index.js';
+import { DepartureRecorder } from '../common/fleet/DepartureRecorder.js';
 import { Dispatcher } from '../common/dispatch/Dispatcher.js';
 import { Placement } from '../common/dispatch/Placement.js';
 import { RouteStatistics } from '../common/dispatch/RouteStatistics.js';
@@ -57,6 +58,8 @@
 const daemonPrefix = 'limpettrack/daemons/';
 /** Prefix of the records of requests that crashed targets. */
 const quarantinePrefix = 'limpettrack/quarantine/';
+/** Prefix of the targets that leave, by daemon. */
+const departurePrefix = 'limpettrack/departures/';
 /** Prefix of all keys of this fleet, which one poll watches. */
 const fleetPrefix = 'limpettrack/';
 /** A request that crashed 3 targets is refused; records expire after 60 s, when its caller has given up. */
@@ -97,6 +100,9 @@
   /** Home of the target on this VM. */
   public readonly home: Home;
 
+  /** Targets of this VM that leave, for the next process of this daemon. */
+  public readonly departures: DepartureRecorder;
+
   /** Metrics of this daemon. */
   public readonly metrics: SidecarMetrics;
 
@@ -163,6 +169,9 @@
         checkStart: (request) => this.crashGuard.checkStart(request),
       }),
     );
+    this.departures = this.disposables.add(
+      new DepartureRecorder({ store, prefix: departurePrefix, daemon: settings.id, clock, log }),
+    );
     this.record = this.createRecord(0);
     this.registration = this.disposables.add(
       new Registration({
@@ -410,10 +419,12 @@
       changes.forEach((change) => this.changeFleet(change));
     });
     this.home.onChange(() => this.publish());
+    this.home.onDeparture((departure) => this.departures.record(departure));
   }
 
   private replaceFleet(snapshot: StoreSnapshot): void {
     const { entries, epoch } = snapshot;
+    this.home.restoreDepartures(this.departures.read(entries));
     const records = entries
       .filter(({ key }) => key.startsWith(daemonPrefix))
       .flatMap((entry) => this.readRecord(entry) ?? []);
@@ -442,6 +453,7 @@
   }
 
   private changeFleet({ type, entry }: StoreChange): void {
+    if (type === 'put') this.home.restoreDepartures(this.departures.read([entry]));
     if (!entry.key.startsWith(daemonPrefix)) return;
     const daemon = brandAs<DaemonId>(entry.key.slice(daemonPrefix.length));
     const record = type === 'put' ? this.readRecord(entry) : undefined;
