Keep the process when a caller resets its connection after CONNECT

Cause: node:http takes its error listener off the socket of a 'connect' event, so that the reset was an uncaught exception. Both compositions share this code.

Change: the socket gets a listener. Result: the test fails before with 'Uncaught Error: read ECONNRESET' and passes now.

--- a/src/daemon/connectionErrors.ts
+++ b/src/daemon/connectionErrors.ts
@@ -47,5 +47,9 @@
     if (error.code === 'ECONNRESET') socket.destroy();
     else refuseInOrder(socket, parserErrors[error.code ?? ''] ?? badRequest);
   });
-  server.on('connect', (_request, socket) => refuseInOrder(socket, methodNotAllowed));
+  server.on('connect', (_request, socket) => {
+    // node:http has removed its own listener; without one, a reset would end the process.
+    socket.on('error', () => socket.destroy());
+    refuseInOrder(socket, methodNotAllowed);
+  });
 }
--- a/src/sidecar/CallerServer.test.ts
+++ b/src/sidecar/CallerServer.test.ts
@@ -7,6 +7,7 @@
 import type { IncomingCall, TargetAnswer } from '../common/dispatch/Types.js';
 import { SystemClock } from '../node/SystemClock.js';
 import { MemoryLog } from '../testing/MemoryLog.js';
+import { waitUntil } from '../testing/waitUntil.js';
 import { CallerServer } from './CallerServer.js';
 import { TrafficState } from './TrafficState.js';
 
@@ -114,6 +115,23 @@
     expect(line?.fields).to.include({ request: 'r-1', route: 'lots', phase: 'dispatch' });
   });
 
+  it('keeps running when a caller resets its connection after CONNECT', async () => {
+    const fixture = new Fixture(() => new Promise(() => {}));
+    const socket = connect(await fixture.listen(), '127.0.0.1');
+    socket.on('error', () => {});
+    const arrived = fixture.arrival();
+    socket.write(`GET /lots/1 HTTP/1.1\r\nhost: ${host}\r\nid: r-1\r\n\r\n`);
+    await arrived;
+    socket.write('CONNECT a.example:443 HTTP/1.1\r\nhost: a.example:443\r\n\r\n');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    socket.resetAndDestroy();
+    // An error without a listener would end this process too.
+    await waitUntil(() => fixture.server.load === 0, 'the connection is closed');
+    fixture.server.dispose();
+  });
+
   it('refuses a request that comes on an unused connection after the server stopped accepting', async () => {
     const fixture = new Fixture(() => new Promise(() => {}));
     const socket = connect(await fixture.listen(), '127.0.0.1');
