Keep the process when an id or a record cannot be put into a header

Cause: the id was taken, published, and written into the header with the daemon's record; writeHead threw, the handler of that error wrote the same header, and its exception was an unhandled rejection, which ends the process. The same characters in the id or region of another daemon's record, in conditions or in the name of a route made every request to peers fail; an exception of a request's handler outside the one catch ended the process too; a request that could not be sent to its target kept its place in the health estimate.

--- a/src/common/base/index.ts
+++ b/src/common/base/index.ts
@@ -1,5 +1,6 @@
 export * from './DisposableStore.js';
 export * from './Emitter.js';
+export * from './escapeNonAscii.js';
 export * from './Errors.js';
 export * from './Hash.js';
 export * from './Ids.js';
--- a/src/common/fleet/DepartureRecorder.ts
+++ b/src/common/fleet/DepartureRecorder.ts
@@ -2,7 +2,7 @@
 import { hashString } from '../base/Hash.js';
 import { sleep } from '../operations/timeouts.js';
 import type { StoreEntry } from '../services/Types.js';
-import { isName } from './daemonRecords.js';
+import { isTargetId } from './daemonRecords.js';
 import type { PolledStore } from './Types.js';
 
 /** Seconds for which a departure is kept; late announcements arrive within seconds. */
@@ -44,7 +44,7 @@
   try {
     const { id, startedAt } = (JSON.parse(new TextDecoder().decode(value)) ??
       {}) as Partial<Departure>;
-    return isName(id) && Number.isSafeInteger(startedAt)
+    return isTargetId(id) && Number.isSafeInteger(startedAt)
       ? { id, startedAt: startedAt as number }
       : undefined;
   } catch {
--- a/src/common/fleet/daemonRecords.test.ts
+++ b/src/common/fleet/daemonRecords.test.ts
@@ -45,6 +45,7 @@
       name: 'an id too long for a header',
       change: { targets: [{ ...target, id: 'i'.repeat(9e4) }] },
     },
+    { name: 'an id that no header can hold', change: { targets: [{ ...target, id: 'i-\ufffd' }] } },
     { name: 'the name of another daemon', change: { daemon: 'sidecar-2' } },
   ];
   invalid.forEach(({ name, change }) => {
@@ -61,6 +62,15 @@
     });
   });
 
+  it('encodes names of any characters as printable ASCII, which a header can hold', () => {
+    const named = { ...record, region: 'gam \u2013 \u00f1 \ud800 \u007f' };
+    const decoded = decodeRecord(JSON.stringify(named), 'sidecar-1');
+    if (decoded === undefined) throw new Error('the record was rejected');
+    const text = encodeRecord(decoded);
+    expect(text).to.match(/^[\x20-\x7e]+$/);
+    expect(decodeRecord(text, 'sidecar-1')).to.deep.equal(named);
+  });
+
   it('drops unknown fields, so that a deeply nested one does not end the daemon that passes the record on', () => {
     const text = `${JSON.stringify(record).slice(0, -1)},"more":${nested(100_000)}}`;
     const decoded = decodeRecord(text, 'sidecar-1');
--- a/src/common/fleet/daemonRecords.ts
+++ b/src/common/fleet/daemonRecords.ts
@@ -1,9 +1,10 @@
-import { brandAs, type DaemonId } from '../base/index.js';
+import { brandAs, escapeNonAscii, type DaemonId, type TargetId } from '../base/index.js';
 import { isHostAndPort } from './isHostAndPort.js';
 import type { DaemonRecord, PublishedTarget } from './Types.js';
 
 /** Characters of an id or a name; longer ones would not fit the headers between daemons. */
 export const maxNameLength = 256;
+const targetIdPattern = /^[\x21-\x7e]([\x20-\x7e]*[\x21-\x7e])?$/;
 /** Slots of a target. */
 export const maxSlots = 100_000;
 
@@ -15,16 +16,23 @@
   return `${incarnation}/${serial}`;
 }
 
-/** Encodes a record as JSON. */
+/** Encodes a record as JSON that a header can hold. */
 export function encodeRecord(record: DaemonRecord): string {
-  return JSON.stringify(record);
+  return escapeNonAscii(JSON.stringify(record));
 }
 
-/** Whether a value is a usable id or name. */
-export function isName(value: unknown): value is string {
+function isName(value: unknown): value is string {
   return typeof value === 'string' && value !== '' && value.length <= maxNameLength;
 }
 
+/**
+ * Whether a value is a usable id of a target. Requests name it in a header, where other characters cannot be sent and
+ * spaces at the ends are lost.
+ */
+export function isTargetId(value: unknown): value is TargetId {
+  return isName(value) && targetIdPattern.test(value);
+}
+
 function isCount(value: unknown, min: number, max = Number.MAX_SAFE_INTEGER): value is number {
   return Number.isSafeInteger(value) && (value as number) >= min && (value as number) <= max;
 }
@@ -32,7 +40,7 @@
 /** Copies the known fields of a target; undefined if one is missing or invalid. */
 function readTarget(value: unknown): PublishedTarget | undefined {
   const { id, incarnation, service, slots, state } = (value ?? {}) as Partial<PublishedTarget>;
-  if (!isName(id) || !isName(incarnation) || !isName(service)) return undefined;
+  if (!isTargetId(id) || !isName(incarnation) || !isName(service)) return undefined;
   if (!isCount(slots, 1, maxSlots) || (state !== 'ready' && state !== 'draining')) return undefined;
   return { id, incarnation, service, slots, state };
 }
--- a/src/daemon/CallerServer.ts
+++ b/src/daemon/CallerServer.ts
@@ -34,6 +34,7 @@
 import { checkRequest, maxBufferedBodyBytes, type CheckedRequest } from './RequestCheck.js';
 import { createResumedBody } from './ResumedBody.js';
 import { sendFailure, sendText } from './Responses.js';
+import { runGuarded } from './runGuarded.js';
 import { readLimited } from './streams.js';
 import type { ForwardAnswer, HeaderPair } from './Types.js';
 
@@ -114,7 +115,8 @@
         requireHostHeader: false,
       },
       (request, response) => {
-        void this.handle(request, response);
+        const handle = (): Promise<void> => this.handle(request, response);
+        void runGuarded(response, settings.log, 'entry.handle', handle);
       },
     );
     // No limit here: node:http silently drops excess headers; RequestCheck refuses the request instead.
--- a/src/sidecar/CallerServer.ts
+++ b/src/sidecar/CallerServer.ts
@@ -25,6 +25,7 @@
 import type { PipelinedRequest } from '../daemon/PipelinedRequest.js';
 import { checkRequest, type CheckedRequest } from '../daemon/RequestCheck.js';
 import { sendText } from '../daemon/Responses.js';
+import { runGuarded } from '../daemon/runGuarded.js';
 import { listen } from '../node/listen.js';
 import type { TrafficState } from './TrafficState.js';
 import type { HeaderNames } from './Types.js';
@@ -102,7 +103,7 @@
     // Without a host, checkRequest refuses a request in the order of its connection.
     const options = { maxHeaderSize, requestTimeout: 0, requireHostHeader: false };
     this.server = createServer(options, (request, response) => {
-      void this.handle(request, response);
+      void runGuarded(response, settings.log, 'entry.handle', () => this.handle(request, response));
     });
     // The parser would silently drop headers above its count limit; checkRequest rejects them instead.
     this.server.maxHeadersCount = 0;
--- a/src/sidecar/Home.test.ts
+++ b/src/sidecar/Home.test.ts
@@ -580,6 +580,12 @@
     );
   });
 
+  it('reports not run and keeps no slot when a request cannot be sent to the target', async () => {
+    expect(await run(home, { headers: [['x', '\u2013']] })).to.equal('not run: bad-request');
+    expect(home.conditions[0]?.[1].running).to.equal(0);
+    expect(target.requests).to.deep.equal([]);
+  });
+
   it('cancels the request at the target when the entry cancels it', async () => {
     target.handler = () => {};
     const abort = new AbortController();
--- a/src/sidecar/HomeServer.test.ts
+++ b/src/sidecar/HomeServer.test.ts
@@ -61,7 +61,10 @@
     return { status: 200, headers: [], body: Readable.from(['done']) };
   };
 
+  let readRecord: () => DaemonRecord;
+
   const start = async (isRelay: boolean): Promise<void> => {
+    readRecord = () => record;
     waiting = [];
     server = new HomeServer({
       clock: new SystemClock(),
@@ -73,7 +76,7 @@
           }
         : undefined,
       version: () => 1,
-      record: () => record,
+      record: () => readRecord(),
       conditions: () => [],
       onConditions: () => {},
       onVersion: () => {},
@@ -146,6 +149,22 @@
     expect(waiting[0]?.request.headers).to.deep.include(['lt-relay', '1']);
   });
 
+  it('closes only the connection of a request whose response cannot be sent', async () => {
+    const headers = { id: 'r-1', lt: metadata };
+    const other = fetch(`http://127.0.0.1:${port}/lots`, { headers });
+    await waitUntil(() => waiting.length === 1, 'the other request waits for a slot');
+    const failing = fetch(`http://127.0.0.1:${port}/lots`, { headers }).catch(() => 'closed');
+    await waitUntil(() => waiting.length === 2, 'the request waits for a slot');
+    readRecord = () => {
+      throw new Error('no record');
+    };
+    waiting[1]?.giveSlot();
+    expect(await failing).to.equal('closed');
+    readRecord = () => record;
+    waiting[0]?.giveSlot();
+    expect(await (await other).text()).to.equal('done');
+  });
+
   it('answers a follower', async () => {
     server.dispose();
     await start(true);
--- a/src/sidecar/HomeServer.ts
+++ b/src/sidecar/HomeServer.ts
@@ -8,6 +8,7 @@
   type TargetCondition,
 } from '../common/dispatch/Types.js';
 import { pairHeaders } from '../daemon/Headers.js';
+import { runGuarded } from '../daemon/runGuarded.js';
 import { readLimited } from '../daemon/streams.js';
 import { listen } from '../node/listen.js';
 import { encodeRecord, recordVersion } from '../common/fleet/daemonRecords.js';
@@ -78,13 +79,15 @@
 
   public constructor(private readonly settings: HomeServerSettings) {
     const options = { keepAliveTimeout, maxHeaderSize, requestTimeout: 0, headersTimeout };
-    this.server = createServer(options, (request, response) => {
-      this.handle(request, response, false);
-    });
+    const accept =
+      (expectsContinue: boolean) =>
+      (request: IncomingMessage, response: ServerResponse): void => {
+        const handle = (): Promise<void> | void => this.handle(request, response, expectsContinue);
+        void runGuarded(response, settings.log, 'home.handle', handle);
+      };
+    this.server = createServer(options, accept(false));
     // The entry sends the body of a non-idempotent request only after `100 Continue`.
-    this.server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
-      this.handle(request, response, true);
-    });
+    this.server.on('checkContinue', accept(true));
     this.server.on('clientError', (_error, socket) => socket.destroy());
   }
 
@@ -107,15 +110,14 @@
     request: IncomingMessage,
     response: ServerResponse,
     expectsContinue: boolean,
-  ): void {
+  ): Promise<void> | void {
     const { relay, codecs } = this.settings;
     const pairs = pairHeaders(request.rawHeaders);
     const decoded = codecs.decodeRequest(pairs);
     // A forwarded request may bear a header of this name from its caller.
     const isFollower = decoded === undefined && request.headers[relayHeader] !== undefined;
     if (relay !== undefined && isFollower) {
-      relay(request, response);
-      return;
+      return relay(request, response);
     }
     response.sendDate = false;
     response.on('error', () => response.destroy());
@@ -126,7 +128,7 @@
     if (decoded === undefined) {
       response.writeHead(badRequestStatus, { 'content-length': 0 });
       response.end();
-      return;
+      return undefined;
     }
     // Tells the entry at once that this daemon is alive, even if the response takes seconds.
     response.writeProcessing();
@@ -146,7 +148,7 @@
     };
     const exchange = { homeRequest, request, response, expectsContinue, codec, peerRequest };
     this.limitDuration(exchange);
-    this.serve(exchange).catch((error: unknown) => this.sendFailure(exchange, error));
+    return this.serve(exchange).catch((error: unknown) => this.sendFailure(exchange, error));
   }
 
   /** Closes the connection of an exchange that does not end: once the entry no longer waits, it is silent or cut off. */
--- a/src/sidecar/TargetHttpClient.ts
+++ b/src/sidecar/TargetHttpClient.ts
@@ -76,13 +76,13 @@
   }
 
   /** Sends a request without retries. Throws `TargetFailure`. */
-  public send(
+  public async send(
     homeRequest: HomeRequest,
     body: Buffer,
     timeout: number,
     signal: AbortSignal,
   ): Promise<StreamedResponse> {
-    const request = this.openRequest(homeRequest, body, timeout);
+    const request = this.tryOpenRequest(homeRequest, body, timeout);
     const exchange: Exchange = { homeRequest, request, isConnected: false, abortReason: undefined };
     const timer = setTimeout(() => TargetHttpClient.abort(exchange, 'late'), timeout);
     const cancel = (): void => TargetHttpClient.abort(exchange, 'cancelled');
@@ -135,6 +135,17 @@
     return new IdleCheckingAgent({ keepAlive: true, maxSockets, timeout: idleTimeout });
   }
 
+  /** Throws `TargetFailure` if the request cannot be sent with its path and headers. */
+  private tryOpenRequest(homeRequest: HomeRequest, body: Buffer, timeout: number): ClientRequest {
+    try {
+      return this.openRequest(homeRequest, body, timeout);
+    } catch (cause) {
+      const origin = { step: 'target.send', peer: this.settings.address, cause };
+      const error = new HomeRefusalError('bad-request', 'the request cannot be sent', origin);
+      throw new TargetFailure('cancelled', error);
+    }
+  }
+
   private openRequest(homeRequest: HomeRequest, body: Buffer, timeout: number): ClientRequest {
     const { names } = this.settings;
     const headers = homeRequest.headers.flatMap((pair) => [...pair]);
--- a/src/sidecar/peer/compactPeerCodec.ts
+++ b/src/sidecar/peer/compactPeerCodec.ts
@@ -1,5 +1,5 @@
 /** Encoding 2: values at fixed positions, since traffic between data centres is billed by the byte. */
-import { brandAs, type RefusalReason, type TargetId } from '../../api/index.js';
+import { brandAs, escapeNonAscii, type RefusalReason, type TargetId } from '../../api/index.js';
 import { hashString } from '../../common/base/Hash.js';
 import type { ConditionReport, HeaderPair, TargetCondition } from '../../common/dispatch/Types.js';
 import { findHeader } from '../../daemon/Headers.js';
@@ -127,8 +127,8 @@
     Math.round(metadata.goal),
     metadata.version,
     metadata.recordVersion,
-    // The name of a route may contain any character of a header value.
-    metadata.route,
+    // The name of a route is only a label at the home.
+    escapeNonAscii(metadata.route),
   ].join(valueSeparator);
 }
 
--- a/src/sidecar/peer/jsonPeerCodec.ts
+++ b/src/sidecar/peer/jsonPeerCodec.ts
@@ -1,5 +1,5 @@
 /** Encoding of builds whose records name no encoding: JSON values with a header for each part. */
-import { brandAs, type RefusalReason, type TargetId } from '../../api/index.js';
+import { brandAs, escapeNonAscii, type RefusalReason, type TargetId } from '../../api/index.js';
 import type { ConditionReport, HeaderPair, TargetCondition } from '../../common/dispatch/Types.js';
 import { findHeader } from '../../daemon/Headers.js';
 import type { HomeRequestMetadata } from '../Types.js';
@@ -62,7 +62,7 @@
     v: metadata.version,
     d: metadata.recordVersion,
   };
-  return JSON.stringify(encoded);
+  return escapeNonAscii(JSON.stringify(encoded));
 }
 
 /** Decodes request metadata; undefined if the value is missing or invalid. */
@@ -126,7 +126,7 @@
     if (limit !== undefined) return [...required, idle ?? null, limit.interval, limit.wait];
     return idle === undefined ? required : [...required, idle];
   });
-  return JSON.stringify(rows);
+  return escapeNonAscii(JSON.stringify(rows));
 }
 
 /** Decodes conditions; empty if the value is missing or invalid. */
