End each request of a caller at the timeout of its route

Cause: the timeout covered only the dispatch. A larger response is streamed after it, and the body is read before it, both without a limit.

Change: one deadline from the head of the request covers its body, the dispatch and the streamed response. A body that is not complete by then is refused as not run, and its connection closed; a stream is cut.

--- a/src/sidecar/CallerServer.test.ts
+++ b/src/sidecar/CallerServer.test.ts
@@ -1,9 +1,10 @@
 import { Agent, request as startRequest } from 'node:http';
 import { once } from 'node:events';
 import { connect } from 'node:net';
+import { PassThrough } from 'node:stream';
 import { text } from 'node:stream/consumers';
 import { expect } from 'chai';
-import { brandAs, createRandom, type ServiceName } from '../api/index.js';
+import { brandAs, createRandom, VirtualClock, type Clock, type ServiceName } from '../api/index.js';
 import type { IncomingCall, TargetAnswer } from '../common/dispatch/Types.js';
 import { SystemClock } from '../node/SystemClock.js';
 import { MemoryLog } from '../testing/MemoryLog.js';
@@ -12,6 +13,8 @@
 import { TrafficState } from './TrafficState.js';
 
 const host = 'shop.example';
+/** Timeout of the route in milliseconds. */
+const timeout = 10_000;
 const names = {
   requestId: 'id',
   timeout: 'timeout',
@@ -33,7 +36,10 @@
 
   private port = 0;
 
-  public constructor(dispatch: (call: IncomingCall) => Promise<TargetAnswer>) {
+  public constructor(
+    dispatch: (call: IncomingCall) => Promise<TargetAnswer>,
+    clock: Clock = new SystemClock(),
+  ) {
     const traffic = new TrafficState(this.log);
     traffic.apply({
       version: 1,
@@ -43,7 +49,7 @@
           host,
           path: '/lots/',
           isIdempotent: true,
-          timeout: 10_000,
+          timeout,
           goal: 1_000,
           rank: 1,
           maxAttempts: 2,
@@ -62,7 +68,7 @@
           return dispatch(call);
         },
       },
-      clock: new SystemClock(),
+      clock,
       random: createRandom(1),
       log: this.log,
       onEnd: () => {},
@@ -182,6 +188,58 @@
     });
   });
 
+  it('ends a response whose home is lost while it is streamed at the timeout of the route', async () => {
+    const clock = new VirtualClock();
+    const body = new PassThrough();
+    body.write(Buffer.alloc(4_096));
+    const fixture = new Fixture(async () => ({ status: 200, headers: [], body }), clock);
+    const socket = connect(await fixture.listen(), '127.0.0.1');
+    socket.on('error', () => {});
+    let received = '';
+    let isClosed = false;
+    socket.on('data', (chunk: Buffer) => {
+      received += chunk.toString('latin1');
+    });
+    socket.on('close', () => {
+      isClosed = true;
+    });
+    socket.write(`GET /lots/1 HTTP/1.1\r\nhost: ${host}\r\nid: r-1\r\n\r\n`);
+    await waitUntil(() => received.includes('200 OK'), 'the response begins');
+    await clock.advanceAsync(timeout - 1);
+    expect(body.destroyed).to.equal(false);
+    await clock.advanceAsync(1);
+    await waitUntil(() => isClosed, 'the connection is closed');
+    // Chunked encoding ends with an empty chunk, without which the response is incomplete.
+    expect(received.endsWith('0\r\n\r\n')).to.equal(false);
+    fixture.server.dispose();
+  });
+
+  const partialBodies = [
+    { name: 'of which nothing came', headers: 'content-length: 4', part: '' },
+    { name: 'of which half came', headers: 'content-length: 4', part: 'lo' },
+    {
+      name: 'whose last chunk is missing',
+      headers: 'transfer-encoding: chunked',
+      part: '1\r\nl\r\n',
+    },
+  ];
+  partialBodies.forEach(({ name, headers, part }) => {
+    it(`refuses a request with a body ${name} at the timeout of the route`, async () => {
+      const clock = new VirtualClock();
+      const fixture = new Fixture(() => Promise.reject(new Error('dispatched')), clock);
+      const socket = connect(await fixture.listen(), '127.0.0.1');
+      const received = text(socket);
+      socket.write(
+        `POST /lots/1 HTTP/1.1\r\nhost: ${host}\r\nid: r-1\r\n${headers}\r\n\r\n${part}`,
+      );
+      await waitUntil(() => fixture.server.load === 1, 'the server has the head');
+      // The timer of the body starts after the head.
+      await clock.advanceAsync(timeout);
+      expect(await received).to.match(/^HTTP\/1.1 503 [^]*connection: close[^]*deadline/i);
+      fixture.server.dispose();
+    });
+  });
+
   it('closes the connection after a response that was pending at the stop, so that no next request crosses the close', async () => {
     let respond = (): void => {};
     const fixture = new Fixture(
--- a/src/sidecar/CallerServer.ts
+++ b/src/sidecar/CallerServer.ts
@@ -26,6 +26,7 @@
 import { checkRequest, type CheckedRequest } from '../daemon/RequestCheck.js';
 import { sendText } from '../daemon/Responses.js';
 import { runGuarded } from '../daemon/runGuarded.js';
+import { readLimited } from '../daemon/streams.js';
 import { listen } from '../node/listen.js';
 import type { TrafficState } from './TrafficState.js';
 import type { HeaderNames } from './Types.js';
@@ -60,19 +61,6 @@
   readonly onEnd: (end: CompletedRequest) => void;
 }
 
-async function readBody(request: IncomingMessage, limit: number): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of request) {
-    size += (chunk as Buffer).length;
-    if (size > limit) {
-      throw new RangeError(`body over ${limit} bytes`);
-    }
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks);
-}
-
 /** A request without a complete response. */
 interface OpenRequest {
   readonly id: string;
@@ -212,19 +200,19 @@
       readonly service: string;
     },
   ): Promise<void> {
-    const { names, traffic, dispatcher, clock } = this.settings;
-    const body =
-      parsed.length === 0 ? Buffer.alloc(0) : await readBody(request, traffic.limits.maxBodyBytes);
-    // The body, or the requests before this one on its connection, may have taken until late in the grace period.
-    this.checkAccepting();
-    const waited = clock.elapsed() - started;
+    const { names, dispatcher, clock } = this.settings;
     const requestedTimeout = Number(
       findHeader(parsed.pairs, names.timeout) ?? parsed.route.timeout,
     );
-    const maxTimeout =
+    const timeout =
       requestedTimeout > 0
         ? Math.min(requestedTimeout, parsed.route.timeout)
         : parsed.route.timeout;
+    const timeoutAt = started + timeout;
+    const body =
+      parsed.length === 0 ? Buffer.alloc(0) : await this.receiveBody(request, pipelined, timeoutAt);
+    // The body, or the requests before this one on its connection, may have taken until late in the grace period.
+    this.checkAccepting();
     const call: IncomingCall = {
       id: brandAs<RequestId>(id),
       route: parsed.route,
@@ -233,11 +221,31 @@
       path: parsed.path,
       headers: this.forwardedHeaders(parsed.pairs, parsed.host),
       body,
-      timeout: maxTimeout - waited,
+      timeout: timeoutAt - clock.elapsed(),
     };
     const answer = await dispatcher.dispatch(call, pipelined.signal);
     if (pipelined.isDropped) return;
-    await this.sendResponse(response, answer, call.method);
+    await this.sendResponse(response, answer, call.method, timeoutAt);
+  }
+
+  /** Receives the body of a request; throws `NotRunError` if it is not complete by `timeoutAt`. */
+  private receiveBody(
+    request: IncomingMessage,
+    pipelined: PipelinedRequest,
+    timeoutAt: number,
+  ): Promise<Buffer> {
+    const { clock, traffic } = this.settings;
+    return new Promise((resolve, reject) => {
+      const timer = clock.after(timeoutAt - clock.elapsed(), () => {
+        // The connection cannot be used again without the rest of the body.
+        pipelined.closeConnection();
+        const message = 'the body did not arrive within the timeout';
+        reject(new NotRunError('deadline', message, { step: 'entry.body' }));
+      });
+      readLimited(request, traffic.limits.maxBodyBytes)
+        .then(resolve, reject)
+        .finally(() => timer.dispose());
+    });
   }
 
   private forwardedHeaders(
@@ -263,13 +271,20 @@
     response: ServerResponse,
     { status, headers, body }: TargetAnswer,
     method: string,
+    timeoutAt: number,
   ): Promise<void> {
+    const { clock } = this.settings;
     if (!Buffer.isBuffer(body)) {
       response.writeHead(
         status,
         headers.flatMap((pair) => [...pair]),
       );
-      await pipeline(body, response);
+      // The home of a response that is being streamed may have lost power.
+      const timer = clock.after(timeoutAt - clock.elapsed(), () => {
+        const origin = { step: 'entry.stream' };
+        body.destroy(new DeadlineError('the response did not end within the timeout', origin));
+      });
+      await pipeline(body, response).finally(() => timer.dispose());
       return;
     }
     const hasNoBody = method === 'HEAD' || status === 204 || status === 304;
