Limit the bytes that a target's connection sends without a response in the own composition

A faulty target could keep the daemon reading for as long as the request's timeout: empty lines, a reason phrase, spaces before a header value, 102 Processing, zeros of a chunk size, chunk extensions.

Cause: undici gives no access to the bytes of a connection, so that the limit of the composition beside each target had no counterpart.

Change: TargetClient uses node:http with the agent and the limit of that composition, which move to src/daemon. A body is still read only as fast as its reader takes it.

--- a/src/daemon/TargetClient.ts
+++ b/src/daemon/TargetClient.ts
@@ -1,10 +1,17 @@
+import {
+  Agent,
+  request as startRequest,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http';
+import type { Socket } from 'node:net';
 import type { Readable } from 'node:stream';
-import { Pool, type Dispatcher } from 'undici';
 import {
   NotRunError,
   OutcomeUnknownError,
   type Disposable,
   type OutcomeKind,
+  type RefusalReason,
 } from '../api/index.js';
 import {
   dropHopByHop,
@@ -14,6 +21,8 @@
   requestIdHeader,
   timeoutHeader,
 } from './Headers.js';
+import { IdleCheckingAgent } from './IdleCheckingAgent.js';
+import { limitOverhead } from './limitOverhead.js';
 import { discard } from './streams.js';
 import { TargetFailure } from './TargetFailure.js';
 import type { ForwardRequest, HeaderPair } from './Types.js';
@@ -25,15 +34,19 @@
 const bodyTimeoutMs = 10_000;
 /** Shorter than the 5 s after which Node.js servers close idle connections, so that no request hits the close. */
 const keepAliveTimeoutMs = 3_000;
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+/** Methods whose requests have a length even without a body. */
+const bodyMethods: ReadonlySet<string> = new Set(['POST', 'PUT', 'PATCH']);
+
+/** Why this daemon aborted a request. */
+type AbortReason = 'late' | 'cancelled' | 'unreachable';
 
-/** Errors that occur before a connection is established, so that the request was not sent. */
-const connectErrors: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'EADDRNOTAVAIL',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
+/** A request in flight. */
+interface Exchange {
+  readonly outgoing: ClientRequest;
+  isConnected: boolean;
+  abortReason: AbortReason | undefined;
+}
 
 /** Answer of a target with the body as a stream. */
 export interface TargetAnswer {
@@ -42,57 +55,80 @@
   readonly body: Readable;
 }
 
-function codeOf(error: unknown): string {
-  return error instanceof Error && 'code' in error ? String(error.code) : '';
-}
-
 function hasBodyLength(status: number, method: string, headers: readonly HeaderPair[]): boolean {
-  if (method === 'HEAD' || status === 204 || status === 304) return true;
+  if (method === 'HEAD' || bodilessStatuses.has(status)) return true;
   return (
     findHeader(headers, 'content-length') !== undefined ||
     findHeader(headers, 'transfer-encoding') !== undefined
   );
 }
 
+/** Fails a body that makes no progress although its reader waits for more. */
+function limitSilence(outgoing: ClientRequest, response: IncomingMessage): void {
+  const timer = setTimeout(() => {
+    if (response.readableLength > 0) timer.refresh();
+    else outgoing.destroy(new Error(`no part of the body for ${bodyTimeoutMs} ms`));
+  }, bodyTimeoutMs);
+  response.on('data', () => timer.refresh());
+  outgoing.once('close', () => clearTimeout(timer));
+}
+
 /** Connections to one target. */
 export class TargetClient implements Disposable {
-  private readonly pool: Pool;
+  private readonly agent: Agent;
+
+  private readonly host: string;
+
+  private readonly port: string;
 
   public constructor(
     private readonly address: string,
     connections: number,
   ) {
-    this.pool = new Pool(`http://${address}`, {
-      connections,
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: bodyTimeoutMs,
-      keepAliveTimeout: keepAliveTimeoutMs,
-      keepAliveMaxTimeout: keepAliveTimeoutMs,
-      connect: { timeout: connectTimeoutMs },
+    [this.host = '', this.port = ''] = address.split(/:(?=\d+$)/);
+    this.agent = new IdleCheckingAgent({
+      keepAlive: true,
+      maxSockets: connections,
+      timeout: keepAliveTimeoutMs,
     });
   }
 
-  /** Sends a request once; `timeout` in milliseconds. Throws `TargetFailure`. */
+  /** Sends a request once; `timeout` in milliseconds, until the head of the response. Throws `TargetFailure`. */
   public async send(
     request: ForwardRequest,
     timeout: number,
     signal: AbortSignal,
   ): Promise<TargetAnswer> {
-    const abort = new AbortController();
-    let isLate = false;
-    const timer = setTimeout(() => {
-      isLate = true;
-      abort.abort();
-    }, timeout);
-    const cancel = (): void => abort.abort();
+    const outgoing = this.tryOpenRequest(request, timeout);
+    const exchange: Exchange = { outgoing, isConnected: false, abortReason: undefined };
+    const timer = setTimeout(() => TargetClient.abort(exchange, 'late'), timeout);
+    const cancel = (): void => TargetClient.abort(exchange, 'cancelled');
     signal.addEventListener('abort', cancel, { once: true });
-    if (signal.aborted) abort.abort();
+    outgoing.once('close', () => signal.removeEventListener('abort', cancel));
+    TargetClient.watchConnection(exchange);
+    limitOverhead(outgoing);
     try {
-      const response = await this.dispatch(request, timeout, abort.signal);
-      return this.checkResponse(request, response);
-    } catch (error) {
-      throw this.classify(error, isLate, signal.aborted);
+      return await new Promise<TargetAnswer>((resolve, reject) => {
+        outgoing.once('response', (response) => {
+          // The parser would take a reset for the end of a response in chunks or without a length.
+          outgoing.on('error', (error) => {
+            if (!response.complete) response.destroy(error);
+          });
+          limitSilence(outgoing, response);
+          try {
+            resolve(this.checkResponse(request, response));
+          } catch (error) {
+            reject(error);
+          }
+        });
+        outgoing.on('error', (error) => reject(this.classify(exchange, error)));
+        // A response that switches protocols closes the request without an error.
+        outgoing.once('close', () => {
+          reject(this.classify(exchange, new Error('the request was closed without a response')));
+        });
+        if (signal.aborted) cancel();
+        else TargetClient.sendBody(exchange, request.body);
+      });
     } finally {
       clearTimeout(timer);
     }
@@ -100,57 +136,100 @@
 
   /** Closes idle connections at once and the others when their requests end. */
   public dispose(): void {
-    void this.pool.close();
+    this.agent.maxFreeSockets = 0;
+    Object.values(this.agent.freeSockets).forEach((sockets) => {
+      sockets?.forEach((socket) => socket.destroy());
+    });
   }
 
-  private dispatch(
-    request: ForwardRequest,
-    timeout: number,
-    signal: AbortSignal,
-  ): Promise<Dispatcher.ResponseData> {
-    return this.pool.request({
-      method: request.method,
-      path: request.path,
-      headers: [
-        ...request.headers.flatMap((pair) => [...pair]),
-        timeoutHeader,
-        String(Math.round(timeout)),
-      ],
-      body: request.body ?? null,
-      idempotent: request.context.isIdempotent,
-      responseHeaders: 'raw',
-      signal,
+  private static abort(exchange: Exchange, reason: AbortReason): void {
+    const { outgoing } = exchange;
+    Object.assign(exchange, { abortReason: exchange.abortReason ?? reason });
+    outgoing.destroy(new Error(reason));
+  }
+
+  private static sendBody({ outgoing }: Exchange, body: ForwardRequest['body']): void {
+    if (body === undefined || Buffer.isBuffer(body)) {
+      outgoing.end(body);
+      return;
+    }
+    body.on('error', (error) => outgoing.destroy(error));
+    body.pipe(outgoing);
+  }
+
+  private static watchConnection(exchange: Exchange): void {
+    const { outgoing } = exchange;
+    const markConnected = (): void => {
+      Object.assign(exchange, { isConnected: true });
+    };
+    outgoing.once('socket', (socket: Socket) => {
+      if (!socket.connecting) {
+        markConnected();
+        return;
+      }
+      const timer = setTimeout(() => TargetClient.abort(exchange, 'unreachable'), connectTimeoutMs);
+      socket.once('connect', () => {
+        markConnected();
+        clearTimeout(timer);
+      });
+      socket.once('close', () => clearTimeout(timer));
     });
   }
 
-  private checkResponse(request: ForwardRequest, response: Dispatcher.ResponseData): TargetAnswer {
-    const raw = pairHeaders(response.headers as unknown as string[]);
-    const { statusCode: status, body } = response;
+  /** Throws `TargetFailure` if the request cannot be sent with its path and headers. */
+  private tryOpenRequest(request: ForwardRequest, timeout: number): ClientRequest {
+    const { method, path, headers: pairs, body } = request;
+    const headers = pairs.flatMap((pair) => [...pair]);
+    headers.push(timeoutHeader, String(Math.round(timeout)));
+    // A header list is sent as it is, and without a length a request with one of these methods would be chunked.
+    const needsLength = body === undefined && bodyMethods.has(method);
+    if (needsLength && findHeader(pairs, 'content-length') === undefined) {
+      headers.push('content-length', '0');
+    }
+    try {
+      return startRequest({
+        agent: this.agent,
+        host: this.host,
+        port: this.port,
+        method,
+        path,
+        headers,
+        setHost: false,
+      });
+    } catch (cause) {
+      throw this.createRefusal('bad-request', 'the request cannot be sent', cause);
+    }
+  }
+
+  private checkResponse(request: ForwardRequest, response: IncomingMessage): TargetAnswer {
+    const raw = pairHeaders(response.rawHeaders);
+    const status = response.statusCode ?? 0;
     const echo = findHeader(raw, requestIdHeader);
     // Only an echoed id proves that a refusal is not the repetition of an earlier one.
     const needsEcho = findHeader(raw, outcomeHeader) === notRunOutcome;
     const isMismatched = echo === undefined ? needsEcho : echo !== request.context.id;
     if (isMismatched || !hasBodyLength(status, request.method, raw)) {
-      discard(body);
+      discard(response);
       const message = isMismatched ? 'answer belongs to another request' : 'answer has no length';
       throw this.createFailure('invalid', message);
     }
-    return { status, headers: dropHopByHop(raw), body };
+    return { status, headers: dropHopByHop(raw), body: response };
   }
 
-  private classify(error: unknown, isLate: boolean, isCancelled: boolean): TargetFailure {
-    if (error instanceof TargetFailure) return error;
-    const message = error instanceof Error ? error.message : String(error);
-    if (connectErrors.has(codeOf(error))) {
-      const origin = { step: 'target.connect', peer: this.address, cause: error };
-      return new TargetFailure(
-        'connect-failed',
-        new NotRunError('connect-failed', message, origin),
-      );
-    }
-    if (isLate) return this.createFailure('timeout', 'no answer within the timeout', error);
-    if (isCancelled) return this.createFailure('cancelled', 'cancelled by the caller', error);
-    return this.createFailure('reset', message, error);
+  private classify({ isConnected, abortReason }: Exchange, cause: Error): TargetFailure {
+    if (abortReason === 'late')
+      return this.createFailure('timeout', 'no answer within the timeout', cause);
+    if (abortReason === 'cancelled')
+      return this.createFailure('cancelled', 'cancelled by the caller', cause);
+    // Without a connection, the request was not sent.
+    if (!isConnected) return this.createRefusal('connect-failed', cause.message, cause);
+    return this.createFailure('reset', cause.message, cause);
+  }
+
+  private createRefusal(reason: RefusalReason, message: string, cause: unknown): TargetFailure {
+    const origin = { step: 'target.connect', peer: this.address, cause };
+    const kind = reason === 'connect-failed' ? 'connect-failed' : 'cancelled';
+    return new TargetFailure(kind, new NotRunError(reason, message, origin));
   }
 
   private createFailure(kind: OutcomeKind, message: string, cause?: unknown): TargetFailure {
--- a/src/sidecar/PeerHttpClient.ts
+++ b/src/sidecar/PeerHttpClient.ts
@@ -21,7 +21,7 @@
 import { dropHopByHop, pairHeaders } from '../daemon/Headers.js';
 import { skipBody } from '../daemon/streams.js';
 import { bufferSmallBody } from './bufferSmallBody.js';
-import { limitOverhead } from './limitOverhead.js';
+import { limitOverhead } from '../daemon/limitOverhead.js';
 import { createRequestMetadata } from './peer/createRequestMetadata.js';
 import { dropAddedHeaders, type PeerCodecs } from './peer/peerCodecs.js';
 import type { PeerCodec, PeerFailure } from './peer/Types.js';
--- a/src/sidecar/TargetHttpClient.ts
+++ b/src/sidecar/TargetHttpClient.ts
@@ -11,8 +11,8 @@
 import { discard, skipBody } from '../daemon/streams.js';
 import { TargetFailure } from '../daemon/TargetFailure.js';
 import { failOnReset } from './failOnReset.js';
-import { IdleCheckingAgent } from './IdleCheckingAgent.js';
-import { limitOverhead } from './limitOverhead.js';
+import { IdleCheckingAgent } from '../daemon/IdleCheckingAgent.js';
+import { limitOverhead } from '../daemon/limitOverhead.js';
 import { readTargetNotice, type TargetNotice } from './targetNotice.js';
 import type { HeaderNames, HomeRequest, StreamedResponse, TargetConnection } from './Types.js';
 
