--- a/src/common/fleet/stalenessBound.test.ts
+++ b/src/common/fleet/stalenessBound.test.ts
@@ -12,6 +12,8 @@
 const maxStaleness = 2_000;
 const daemons = 14;
 const seeds = 40;
+/** Milliseconds after the end of an outage from which the bound holds. */
+const stableWindow = 3_000;
 /** Milliseconds before the change in which the faults begin. */
 const maxLead = 2_500;
 
@@ -106,4 +108,24 @@
       }
     });
   });
+
+  // Calls of the last moments of an outage are on connections that stay silent when the store answers new ones again.
+  const darkFor = [300, 1_000, 3_300, 9_000];
+  darkFor.forEach((duration) => {
+    it(`knows a change in time although the store was silent for ${duration} ms and no call of that time returns`, async () => {
+      for (let seed = 1; seed <= seeds; seed += 1) {
+        const random = createRandom(seed);
+        const settings = { size: daemons, maxStaleness, storeLatency: 25, relayLatency: 2, random };
+        const fleet = new RelayedFleet(settings);
+        await fleet.clock.advanceAsync(20_000 + random() * 2_000);
+        fleet.followers.forEach((follower) => Object.assign(follower, { storeLink: 'silent' }));
+        await fleet.clock.advanceAsync(duration);
+        fleet.followers.forEach((follower) => Object.assign(follower, { storeLink: 'open' }));
+        await fleet.clock.advanceAsync(stableWindow + random() * stableWindow);
+        fleet.store.put(followedKey, 'second');
+        await fleet.clock.advanceAsync(maxStaleness);
+        expect(new Set(fleet.current), `seed ${seed}`).to.deep.equal(new Set(['second']));
+      }
+    });
+  });
 });
