--- a/src/common/fleet/stalenessBound.test.ts
+++ b/src/common/fleet/stalenessBound.test.ts
@@ -118,7 +118,10 @@
         const settings = { size: daemons, maxStaleness, storeLatency: 25, relayLatency: 2, random };
         const fleet = new RelayedFleet(settings);
         await fleet.clock.advanceAsync(20_000 + random() * 2_000);
-        fleet.followers.forEach((follower) => Object.assign(follower, { storeLink: 'silent' }));
+        fleet.followers.forEach((follower) => {
+          follower.silenceStoreConnections();
+          Object.assign(follower, { storeLink: 'silent' });
+        });
         await fleet.clock.advanceAsync(duration);
         fleet.followers.forEach((follower) => Object.assign(follower, { storeLink: 'open' }));
         await fleet.clock.advanceAsync(stableWindow + random() * stableWindow);
