--- a/src/daemon/TargetClient.ts
+++ b/src/daemon/TargetClient.ts
@@ -143,9 +143,8 @@
   }
 
   private static abort(exchange: Exchange, reason: AbortReason): void {
-    const { outgoing } = exchange;
-    Object.assign(exchange, { abortReason: exchange.abortReason ?? reason });
-    outgoing.destroy(new Error(reason));
+    exchange.abortReason ??= reason;
+    exchange.outgoing.destroy(new Error(reason));
   }
 
   private static sendBody({ outgoing }: Exchange, body: ForwardRequest['body']): void {
@@ -158,18 +157,14 @@
   }
 
   private static watchConnection(exchange: Exchange): void {
-    const { outgoing } = exchange;
-    const markConnected = (): void => {
-      Object.assign(exchange, { isConnected: true });
-    };
-    outgoing.once('socket', (socket: Socket) => {
+    exchange.outgoing.once('socket', (socket: Socket) => {
       if (!socket.connecting) {
-        markConnected();
+        exchange.isConnected = true;
         return;
       }
       const timer = setTimeout(() => TargetClient.abort(exchange, 'unreachable'), connectTimeoutMs);
       socket.once('connect', () => {
-        markConnected();
+        exchange.isConnected = true;
         clearTimeout(timer);
       });
       socket.once('close', () => clearTimeout(timer));
--- a/src/daemon/runGuarded.ts
+++ b/src/daemon/runGuarded.ts
@@ -9,7 +9,7 @@
   response: ServerResponse,
   log: LogSink,
   step: string,
-  handle: () => Promise<void> | void,
+  handle: () => Promise<void>,
 ): Promise<void> {
   try {
     await handle();
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -310,8 +310,8 @@
     this.applyDrain(hosted, report);
   }
 
-  private applyDrain(target: HostedTarget, report: TargetReport): void {
-    const hosted = target;
+  /** Sends no further requests to a target; those that run are completed. */
+  private applyDrain(hosted: HostedTarget, report: TargetReport): void {
     hosted.report = report;
     hosted.evictQueue();
     this.changeEmitter.fire();
--- a/src/sidecar/HomeServer.ts
+++ b/src/sidecar/HomeServer.ts
@@ -82,8 +82,9 @@
     const accept =
       (expectsContinue: boolean) =>
       (request: IncomingMessage, response: ServerResponse): void => {
-        const handle = (): Promise<void> | void => this.handle(request, response, expectsContinue);
-        void runGuarded(response, settings.log, 'home.handle', handle);
+        void runGuarded(response, settings.log, 'home.handle', () =>
+          this.handle(request, response, expectsContinue),
+        );
       };
     this.server = createServer(options, accept(false));
     // The entry sends the body of a non-idempotent request only after `100 Continue`.
@@ -106,18 +107,19 @@
     this.server.closeAllConnections();
   }
 
-  private handle(
+  private async handle(
     request: IncomingMessage,
     response: ServerResponse,
     expectsContinue: boolean,
-  ): Promise<void> | void {
+  ): Promise<void> {
     const { relay, codecs } = this.settings;
     const pairs = pairHeaders(request.rawHeaders);
     const decoded = codecs.decodeRequest(pairs);
     // A forwarded request may bear a header of this name from its caller.
     const isFollower = decoded === undefined && request.headers[relayHeader] !== undefined;
     if (relay !== undefined && isFollower) {
-      return relay(request, response);
+      relay(request, response);
+      return;
     }
     response.sendDate = false;
     response.on('error', () => response.destroy());
@@ -128,7 +130,7 @@
     if (decoded === undefined) {
       response.writeHead(badRequestStatus, { 'content-length': 0 });
       response.end();
-      return undefined;
+      return;
     }
     // Tells the entry at once that this daemon is alive, even if the response takes seconds.
     response.writeProcessing();
@@ -148,7 +150,11 @@
     };
     const exchange = { homeRequest, request, response, expectsContinue, codec, peerRequest };
     this.limitDuration(exchange);
-    return this.serve(exchange).catch((error: unknown) => this.sendFailure(exchange, error));
+    try {
+      await this.serve(exchange);
+    } catch (error) {
+      this.sendFailure(exchange, error);
+    }
   }
 
   /** Closes the connection of an exchange that does not end: once the entry no longer waits, it is silent or cut off. */
