Wait for the closed connection instead of 60 ms in a test of duplicated responses

Trace: the duplicate was due 20 ms after the response and the next request 60 ms after it; with the duplicate at 60 or 61 ms the test fails each time, since it is written less than 1 ms before the next request, on whose connection it is still unread. The outcome of that request is unknown then, and said to be so. The test now waits until the duplicate has closed the idle connection, which it did not check before.

--- a/src/sidecar/Home.test.ts
+++ b/src/sidecar/Home.test.ts
@@ -13,6 +13,7 @@
 import { SystemClock } from '../node/SystemClock.js';
 import { MemoryLog } from '../testing/MemoryLog.js';
 import { RawTarget, type RawRequestHandler, type RawRequest } from '../testing/RawTarget.js';
+import { waitUntil } from '../testing/waitUntil.js';
 import { Home } from './Home.js';
 import { bufferSmallBody } from './bufferSmallBody.js';
 import type { HeaderNames, HomeRequest } from './Types.js';
@@ -274,14 +275,15 @@
       socket.write(text);
       afterDelay(() => socket.write(text));
     };
+    const waitForClosed = (count: number): Promise<void> =>
+      waitUntil(() => target.closedConnections === count, 'the connection is closed');
     for (let index = 0; index < 5; index += 1) {
       const id = `r-${10 + index}`;
       const headers = [['id', id]] as const;
       const result = await run(home, { id, headers, isIdempotent: true });
       expect(result).to.equal(`200 ${10 + index}`);
-      await new Promise((resolve) => {
-        setTimeout(resolve, 60);
-      });
+      // The duplicate closes the idle connection, so that the next request goes to another one.
+      await waitForClosed(index + 1);
     }
   });
 
