--- a/src/sidecar/Home.test.ts
+++ b/src/sidecar/Home.test.ts
@@ -275,8 +275,8 @@
       socket.write(text);
       afterDelay(() => socket.write(text));
     };
-    const waitForClosed = (count: number): Promise<void> =>
-      waitUntil(() => target.closedConnections === count, 'the connection is closed');
+    const waitForClosed = (closed: number): Promise<void> =>
+      waitUntil(() => target.closedConnections === closed, 'the connection is closed');
     for (let index = 0; index < 5; index += 1) {
       const id = `r-${10 + index}`;
       const headers = [['id', id]] as const;
