--- a/src/daemon/runGuarded.ts
+++ b/src/daemon/runGuarded.ts
@@ -2,8 +2,8 @@
 import type { LogSink } from '../api/index.js';
 
 /**
- * Runs the handler of a request. An error that it did not handle ends the connection of that request rather than the
- * process, and with it the requests of all other callers.
+ * Runs the handler of a request. An error that the handler did not catch closes the connection of that request; as an
+ * unhandled rejection it would end the process and with it the requests of all other callers.
  */
 export async function runGuarded(
   response: ServerResponse,
