Check a daemon on a new connection before it counts as unreachable

Cause: an exchange that got no response marked the daemon as unreachable, and each such exchange doubled its backoff. Idle connections that had gone silent together were taken by the next orders, failed together, and one event counted as three or four: 2 to 4 s without requests at a home that answered each new connection. Nothing but a request asked it again.

Change: after a third of the time in which a response is due, the daemon is asked for one on a new connection. If it responds, only the connection was lost: requests whose body was not sent are sent once more on another connection, and the idle connections that are as old are closed. If it does not, it is left out at the time of before, for all exchanges at once, and checked at 0.5 to 2 s until it responds; no request is spent on finding out. A daemon that responds to checks but not to requests on new connections is excluded with an exponential backoff, one step for each event. Relays read the same state. The log says for each exchange without a response whether its connection was new, how long it had been idle, and what was closed; the metrics count lost connections and daemons that are left out.

PeerHttpClient.test.ts asked for `isUnreachable` of the error, which no longer exists; it now asks whether the home is still a candidate.

--- a/src/bench/scenarios/hop.ts
+++ b/src/bench/scenarios/hop.ts
@@ -18,6 +18,7 @@
 import { RemoteHome } from '../../daemon/RemoteHome.js';
 import type { HeaderPair } from '../../daemon/Types.js';
 import { SystemClock } from '../../node/SystemClock.js';
+import { createReachability } from '../../testing/createReachability.js';
 import { HomeServer } from '../../sidecar/HomeServer.js';
 import { newestPeerEncoding, PeerCodecs } from '../../sidecar/peer/peerCodecs.js';
 import { PeerHttpClient } from '../../sidecar/PeerHttpClient.js';
@@ -139,6 +140,8 @@
     dataCentre: record.dataCentre,
     codecs,
     clock,
+    log,
+    monitor: createReachability(clock, log, [record]).monitor,
     onVersion: () => {},
     conditions: () => [],
     onConditions: () => {},
--- a/src/common/dispatch/Dispatcher.test.ts
+++ b/src/common/dispatch/Dispatcher.test.ts
@@ -97,8 +97,6 @@
   const directory: Directory = {
     candidates,
     recordCondition: (target, known) => conditions.set(target, known),
-    markReachable: () => {},
-    markUnreachable: () => {},
     raiseSuspicion: () => {},
     unhealthyProbability: () => 0.15,
     adjustInFlight: () => {},
--- a/src/common/dispatch/Dispatcher.ts
+++ b/src/common/dispatch/Dispatcher.ts
@@ -17,7 +17,6 @@
 import {
   DeadlineError,
   HomeRefusalError,
-  HomeUnresponsiveError,
   type Candidate,
   type IncomingCall,
   type AttemptSender,
@@ -53,8 +52,6 @@
 export interface Directory {
   candidates(service: ServiceName): Candidate[];
   recordCondition(target: TargetId, condition: TargetCondition): void;
-  markReachable(daemon: Candidate['daemon']): void;
-  markUnreachable(daemon: Candidate['daemon']): void;
   /** Raises the log-odds that a target is unhealthy to at least `logOdds`. */
   raiseSuspicion(target: TargetId, logOdds: number): void;
   /** Current estimate of the probability that a target is unhealthy. */
@@ -432,7 +429,6 @@
     startedAt: number,
   ): void {
     const { directory, statistics, clock } = this.settings;
-    directory.markReachable(candidate.daemon);
     if (condition !== undefined) directory.recordCondition(candidate.target, condition);
     if (status >= firstServerError) return;
     statistics.get(call.route).latencies.record(clock.elapsed() - startedAt);
@@ -449,9 +445,7 @@
     const { directory } = this.settings;
     const { candidate } = choice.ranked;
     if (cause instanceof HomeRefusalError) {
-      const { condition, isUnreachable, hasReachedTarget } = cause.details;
-      if (isUnreachable === true) directory.markUnreachable(candidate.daemon);
-      else directory.markReachable(candidate.daemon);
+      const { condition, hasReachedTarget } = cause.details;
       if (condition !== undefined) directory.recordCondition(candidate.target, condition);
       if (hasReachedTarget !== true) {
         state.sent -= 1;
@@ -464,7 +458,6 @@
       return { type: 'refused', error: cause };
     }
     state.mayHaveRun = true;
-    if (cause instanceof HomeUnresponsiveError) directory.markUnreachable(candidate.daemon);
     const error =
       cause instanceof FleetError
         ? cause
--- a/src/common/dispatch/Types.ts
+++ b/src/common/dispatch/Types.ts
@@ -110,17 +110,12 @@
       readonly retryAfter?: number;
       /** The target itself refused, so the request counts as sent there. */
       readonly hasReachedTarget?: boolean;
-      /** The home could not be reached. */
-      readonly isUnreachable?: boolean;
     } = {},
   ) {
     super(reason, message, origin);
   }
 }
 
-/** A home did not respond after a request was sent to it. */
-export class HomeUnresponsiveError extends OutcomeUnknownError {}
-
 /** No answer came before the route's timeout or the caller's deadline. */
 export class DeadlineError extends OutcomeUnknownError {}
 
--- a/src/common/fleet/FleetDirectory.ts
+++ b/src/common/fleet/FleetDirectory.ts
@@ -14,9 +14,6 @@
 
 /** Milliseconds after which a daemon that the store does not list and that does not respond is removed. */
 const unlistedLifetime = 8_000;
-/** Exponential backoff after a daemon could not be reached, in milliseconds. */
-const minBackoff = 500;
-const maxBackoff = 4_000;
 /** Share of a service's targets that may be excluded at a time: 3 in 10 hang in turn, and another fault may occur. */
 const maxExcludedShare = 0.5;
 /** Age in milliseconds above which a condition is not passed on, since the load has changed by then. */
@@ -36,8 +33,7 @@
   unlistedAt: number | undefined;
   /** Time of its last response. */
   reachedAt: number;
-  failures: number;
-  backoffUntil: number;
+  isReachable: boolean;
 }
 
 /** A target and its home. */
@@ -125,8 +121,7 @@
         record,
         unlistedAt: undefined,
         reachedAt: this.clock.elapsed(),
-        failures: 0,
-        backoffUntil: 0,
+        isReachable: true,
       });
     } else {
       known.record = record;
@@ -169,20 +164,17 @@
   public markReachable(daemon: DaemonId): void {
     const peer = this.peers.get(daemon);
     if (peer === undefined) return;
-    if (peer.failures > 0) this.logRecord('daemon is reachable again', peer.record);
+    if (!peer.isReachable) this.logRecord('daemon is reachable again', peer.record);
     peer.reachedAt = this.clock.elapsed();
-    peer.failures = 0;
-    peer.backoffUntil = 0;
+    peer.isReachable = true;
   }
 
-  /** Records that the daemon could not be reached; it is not used until the backoff has passed. */
-  public markUnreachable(daemon: DaemonId): void {
+  /** Records that the daemon does not respond; it is not used until `markReachable` or its next incarnation. */
+  public markUnreachable(daemon: DaemonId, reason: string): void {
     const peer = this.peers.get(daemon);
-    if (peer === undefined) return;
-    peer.failures += 1;
-    if (peer.failures === 1) this.logRecord('daemon is unreachable', peer.record);
-    const backoff = Math.min(maxBackoff, minBackoff * 2 ** (peer.failures - 1));
-    peer.backoffUntil = this.clock.elapsed() + backoff;
+    if (peer === undefined || !peer.isReachable) return;
+    peer.isReachable = false;
+    this.logRecord('daemon is unreachable', peer.record, { reason });
   }
 
   /** Records the condition that the home of a target reported `age` milliseconds ago. */
@@ -261,8 +253,8 @@
   public candidates(service: ServiceName): Candidate[] {
     const now = this.clock.elapsed();
     const candidates: Candidate[] = [];
-    this.targetsOf(service).forEach(({ peer: { record, backoffUntil }, target }) => {
-      if (record.state === 'leaving' || backoffUntil > now || target.state !== 'ready') return;
+    this.targetsOf(service).forEach(({ peer: { record, isReachable }, target }) => {
+      if (record.state === 'leaving' || !isReachable || target.state !== 'ready') return;
       if (this.leaving.get(target.id) === target.incarnation) return;
       candidates.push(this.createCandidate(record, target, now));
     });
@@ -284,22 +276,21 @@
 
   /** Daemons of a data centre that are serving and reachable and answer polls of this version as relays. */
   public relaysOf(dataCentre: DataCentre, relayVersion: number): readonly DaemonId[] {
-    const now = this.clock.elapsed();
     return [...this.peers.values()]
       .filter(
-        ({ record, unlistedAt, backoffUntil }) =>
+        ({ record, unlistedAt, isReachable }) =>
           record.dataCentre === dataCentre &&
           record.state === 'serving' &&
           (record.relayVersion ?? 1) >= relayVersion &&
           unlistedAt === undefined &&
-          backoffUntil <= now,
+          isReachable,
       )
       .map(({ record }) => record.daemon);
   }
 
-  /** `host:port` at which a daemon can be reached; undefined if it is unknown. */
-  public addressOf(daemon: DaemonId): string | undefined {
-    return this.peers.get(daemon)?.record.address;
+  /** Latest record of a daemon; undefined if it is unknown. */
+  public recordOf(daemon: DaemonId): DaemonRecord | undefined {
+    return this.peers.get(daemon)?.record;
   }
 
   /** Number of targets of a service, including those that are not used now. */
@@ -384,13 +375,17 @@
     return observation;
   }
 
-  private logRecord(message: string, record: DaemonRecord): void {
+  private logRecord(
+    message: string,
+    record: DaemonRecord,
+    details: Readonly<Record<string, string>> = {},
+  ): void {
     const { daemon, incarnation, address } = record;
     this.log.write({
       level: 'info',
       kind: 'membership',
       message,
-      fields: { step: 'fleet', daemon, incarnation, address, known: this.peers.size },
+      fields: { step: 'fleet', daemon, incarnation, address, known: this.peers.size, ...details },
     });
   }
 }
--- a/src/sidecar/HomeServer.ts
+++ b/src/sidecar/HomeServer.ts
@@ -15,6 +15,7 @@
 import type { DaemonRecord } from '../common/fleet/Types.js';
 import type { Home } from './Home.js';
 import { dropAddedHeaders, type PeerCodecs } from './peer/peerCodecs.js';
+import { checkHeader } from './peer/probeDaemon.js';
 import { relayHeader } from './peer/relayMessages.js';
 import type { PeerCodec, PeerFailure, PeerRequest } from './peer/Types.js';
 import type { HomeRequest } from './Types.js';
@@ -30,6 +31,8 @@
 const refusalStatus = 503;
 const outcomeUnknownStatus = 502;
 const badRequestStatus = 400;
+/** Status of a check of reachability. */
+const checkedStatus = 204;
 
 /** Headers of the connection between the daemons, which are not forwarded to the target. */
 const connectionHeaders: ReadonlySet<string> = new Set([
@@ -122,6 +125,11 @@
       return;
     }
     response.sendDate = false;
+    if (decoded === undefined && request.headers[checkHeader] !== undefined) {
+      response.writeHead(checkedStatus);
+      response.end();
+      return;
+    }
     response.on('error', () => response.destroy());
     this.inFlight += 1;
     response.once('close', () => {
--- a/src/sidecar/PeerHttpClient.test.ts
+++ b/src/sidecar/PeerHttpClient.test.ts
@@ -23,6 +23,7 @@
 import { encodeRecord, recordVersion } from '../common/fleet/daemonRecords.js';
 import type { DaemonRecord } from '../common/fleet/Types.js';
 import { SystemClock } from '../node/SystemClock.js';
+import { createReachability } from '../testing/createReachability.js';
 import { MemoryLog } from '../testing/MemoryLog.js';
 import { RawTarget } from '../testing/RawTarget.js';
 import { HomeServer } from './HomeServer.js';
@@ -157,13 +158,19 @@
   };
 }
 
-function createClient(learned: ConditionReport[], records: DaemonRecord[]): PeerHttpClient {
+function createClient(
+  learned: ConditionReport[],
+  records: DaemonRecord[],
+  { monitor } = createReachability(new SystemClock(), new MemoryLog(), [record]),
+): PeerHttpClient {
   return new PeerHttpClient({
     id: brandAs<DaemonId>('sidecar-aimogasta-a-3'),
     region,
     dataCentre: dataCentre('aimogasta-a'),
     codecs: new PeerCodecs(requestIdHeader),
     clock: new SystemClock(),
+    log: new MemoryLog(),
+    monitor,
     onVersion: () => {},
     conditions: () => conditions,
     onConditions: (reports) => learned.push(...reports),
@@ -300,21 +307,24 @@
     },
   ];
   const unsendable = [
-    { name: 'its port is out of range', port: 99_999, sentPath: path, isUnreachable: true },
-    { name: 'its path cannot be sent', port: 9, sentPath: '/a b', isUnreachable: false },
+    { name: 'its port is out of range', port: 99_999, sentPath: path, isExcluded: true },
+    { name: 'its path cannot be sent', port: 9, sentPath: '/a b', isExcluded: false },
   ];
-  unsendable.forEach(({ name, port, sentPath, isUnreachable }) => {
+  unsendable.forEach(({ name, port, sentPath, isExcluded }) => {
     it(`knows that a bid was not run if ${name}`, async () => {
-      const client = createClient([], []);
+      const reachability = createReachability(new SystemClock(), new MemoryLog(), [record]);
+      const client = createClient([], [], reachability);
       const candidate = createCandidate(port, newestPeerEncoding, recordVersion(record));
       const attempt = createAttempt(false);
       const { signal } = new AbortController();
       const failure: unknown = await client
         .send(candidate, { ...attempt, call: { ...attempt.call, path: sentPath } }, signal)
         .catch((reason: unknown) => reason);
+      const targets = reachability.directory.candidates(record.targets[0]!.service);
       client.dispose();
+      reachability.monitor.dispose();
       expect(failure).to.be.instanceOf(HomeRefusalError);
-      expect((failure as HomeRefusalError).details.isUnreachable).to.equal(isUnreachable);
+      expect(targets).to.have.length(isExcluded ? 0 : 1);
     });
   });
 
--- a/src/sidecar/PeerHttpClient.ts
+++ b/src/sidecar/PeerHttpClient.ts
@@ -1,14 +1,15 @@
-import {
-  Agent,
-  request as startRequest,
-  type ClientRequest,
-  type IncomingMessage,
-} from 'node:http';
+import { request as startRequest, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { OutcomeUnknownError, type Clock, type DaemonId, type Disposable } from '../api/index.js';
+import {
+  FleetError,
+  OutcomeUnknownError,
+  type Clock,
+  type DaemonId,
+  type Disposable,
+  type LogSink,
+} from '../api/index.js';
 import {
   HomeRefusalError,
-  HomeUnresponsiveError,
   type Candidate,
   type ConditionReport,
   type AttemptRequest,
@@ -17,12 +18,16 @@
   type TargetCondition,
 } from '../common/dispatch/Types.js';
 import { decodeRecord } from '../common/fleet/daemonRecords.js';
+import type { ReachabilityMonitor } from '../common/fleet/ReachabilityMonitor.js';
+import { responseTimeout, ResponseWatch } from '../common/fleet/ResponseWatch.js';
 import type { DaemonRecord } from '../common/fleet/Types.js';
 import { dropHopByHop, pairHeaders } from '../daemon/Headers.js';
 import { skipBody } from '../daemon/streams.js';
 import { bufferSmallBody } from './bufferSmallBody.js';
 import { limitOverhead } from '../daemon/limitOverhead.js';
 import { createRequestMetadata } from './peer/createRequestMetadata.js';
+import { PeerAgent } from './peer/PeerAgent.js';
+import { SilenceError } from './peer/SilenceError.js';
 import { dropAddedHeaders, type PeerCodecs } from './peer/peerCodecs.js';
 import type { PeerCodec, PeerFailure } from './peer/Types.js';
 
@@ -30,11 +35,19 @@
 const idleTimeout = 20_000;
 /** Maximum idle connections to one daemon. */
 const maxIdleConnections = 6;
-/** Milliseconds within which a daemon of this region must send `102 Processing` or a response. */
-const processingTimeout = 450;
-/** Additional milliseconds for a daemon of the other region: two round trips. */
-const crossRegionAllowance = 250;
 const fallbackStatus = 502;
+/** Times that a request whose body was not asked for is sent, each on another connection. */
+const maxSends = 2;
+/** Errors of a connection that the other VM does not accept; others, such as a lack of sockets, are of this VM. */
+const connectErrors: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'ECONNRESET',
+  'EHOSTDOWN',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ERR_SOCKET_BAD_PORT',
+  'ETIMEDOUT',
+]);
 
 /** Failure of an exchange whose response comes from no daemon. */
 const notHome = {
@@ -45,6 +58,13 @@
 /** Failure of an exchange whose outcome no response tells. */
 const noState = { failure: { type: 'unknown' }, condition: undefined } as const;
 
+/** Code of an error that kept a connection from being opened by the other VM; undefined for other errors. */
+function connectErrorOf(error: Error): string | undefined {
+  const { code = '', syscall } = error as NodeJS.ErrnoException;
+  const isConnecting = syscall === 'connect' || code === 'ERR_SOCKET_BAD_PORT';
+  return isConnecting && connectErrors.has(code) ? code : undefined;
+}
+
 /** Bytes that a connection has sent and received. */
 function transferredBytes({ bytesRead, bytesWritten }: Socket): number {
   return bytesRead + bytesWritten;
@@ -62,6 +82,11 @@
   readonly dataCentre: string;
   readonly codecs: PeerCodecs;
   readonly clock: Clock;
+  readonly log: LogSink;
+  readonly monitor: Pick<
+    ReachabilityMonitor,
+    'check' | 'recordConnectFailure' | 'recordLostConnection' | 'recordResponse' | 'recordSilence'
+  >;
   /** Called with the configuration version of a responding daemon. */
   readonly onVersion: (version: number, daemon: DaemonId) => void;
   /** Recent target conditions, sent to daemons of this region. */
@@ -77,6 +102,9 @@
   readonly candidate: Candidate;
   readonly attempt: AttemptRequest;
   readonly request: ClientRequest;
+  readonly host: string;
+  readonly port: number;
+  readonly startedAt: number;
   /** Encoding that the home reads. */
   readonly codec: PeerCodec;
   /** Connection of the exchange and the bytes that it had transferred before. */
@@ -89,40 +117,75 @@
 
 /** Forwards attempts to other daemons over HTTP/1.1. */
 export class PeerHttpClient implements Disposable {
-  private readonly agent = new Agent({
-    keepAlive: true,
-    maxFreeSockets: maxIdleConnections,
-    timeout: idleTimeout,
-  });
+  private readonly agent: PeerAgent;
+
+  private lostCount = 0;
+
+  public constructor(private readonly settings: PeerHttpClientSettings) {
+    this.agent = new PeerAgent(settings.clock, {
+      maxFreeSockets: maxIdleConnections,
+      timeout: idleTimeout,
+    });
+  }
 
-  public constructor(private readonly settings: PeerHttpClientSettings) {}
+  /** Exchanges that ended because their connection was lost while the daemon was reachable. */
+  public get lostConnections(): number {
+    return this.lostCount;
+  }
 
   /** Sends an attempt. Throws `HomeRefusalError` if it was not run, otherwise `OutcomeUnknownError`. */
-  public send(
+  public async send(
     candidate: Candidate,
     attempt: AttemptRequest,
     signal: AbortSignal,
   ): Promise<TargetAnswer> {
-    return new Promise((resolve, reject) => {
+    for (let sends = 1; ; sends += 1) {
       const exchange = this.tryOpenRequest(candidate, attempt);
-      const { request } = exchange;
-      const processingTimer = this.startProcessingTimer(exchange);
+      try {
+        return await this.run(exchange, signal);
+      } catch (cause) {
+        const error = cause instanceof Error ? cause : new Error(String(cause));
+        if (error instanceof FleetError) throw error;
+        this.recordFailure(exchange, error, signal.aborted);
+        const mayResend = sends < maxSends && this.isConnectionFault(exchange, error);
+        if (signal.aborted || !mayResend) throw this.classify(exchange, error, signal.aborted);
+      }
+    }
+  }
+
+  public dispose(): void {
+    this.agent.destroy();
+  }
+
+  /** Sends a request once. Rejects with a `FleetError` if the daemon says so, otherwise with the error of the connection. */
+  private run(exchange: Exchange, signal: AbortSignal): Promise<TargetAnswer> {
+    const { request, candidate, attempt } = exchange;
+    return new Promise((resolve, reject) => {
+      const watch = this.createWatch(exchange);
       const cancel = (): void => {
         request.destroy();
       };
       const cleanUp = (): void => {
-        processingTimer.dispose();
+        watch.dispose();
         signal.removeEventListener('abort', cancel);
       };
+      const markResponded = (): void => {
+        // A response may be recorded after the watch was disposed.
+        if (!exchange.hasResponded) {
+          this.settings.monitor.recordResponse(candidate.daemon, exchange.startedAt);
+        }
+        exchange.hasResponded = true;
+        watch.dispose();
+      };
       signal.addEventListener('abort', cancel, { once: true });
-      request.on('information', () => this.markResponded(exchange, processingTimer));
+      request.on('information', markResponded);
       request.on('continue', () => {
-        this.markResponded(exchange, processingTimer);
+        markResponded();
         this.sendBody(exchange);
       });
       const fail = (error: Error): void => {
         cleanUp();
-        reject(this.classify(exchange, error, signal.aborted));
+        reject(error);
       };
       request.on('error', fail);
       // A response that switches protocols closes the request without an error.
@@ -132,7 +195,7 @@
       request.once('close', failOnClose);
       request.on('response', (response) => {
         request.off('close', failOnClose);
-        this.markResponded(exchange, processingTimer);
+        markResponded();
         this.readResponse(exchange, response).then(resolve, reject).finally(cleanUp);
       });
       if (attempt.call.route.isIdempotent) this.sendBody(exchange);
@@ -141,8 +204,16 @@
     });
   }
 
-  public dispose(): void {
-    this.agent.destroy();
+  private createWatch({ candidate, request }: Exchange): ResponseWatch {
+    const { clock, monitor, region } = this.settings;
+    return new ResponseWatch({
+      clock,
+      monitor,
+      daemon: candidate.daemon,
+      timeout: responseTimeout(candidate.region === region),
+      isNewConnection: () => !request.reusedSocket,
+      onSilence: (reason) => request.destroy(new SilenceError(reason)),
+    });
   }
 
   /** Throws `HomeRefusalError` if nothing can be sent to the address or with the request's path and headers. */
@@ -151,10 +222,9 @@
       return this.openRequest(candidate, attempt);
     } catch (cause) {
       const origin = { step: 'peer.send', peer: candidate.daemon, cause };
-      const hasBadPort = (cause as NodeJS.ErrnoException).code === 'ERR_SOCKET_BAD_PORT';
-      throw new HomeRefusalError('connect-failed', 'the request could not be sent', origin, {
-        isUnreachable: hasBadPort,
-      });
+      const code = connectErrorOf(cause as Error);
+      if (code !== undefined) this.settings.monitor.recordConnectFailure(candidate.daemon, code);
+      throw new HomeRefusalError('connect-failed', 'the request could not be sent', origin);
     }
   }
 
@@ -187,6 +257,9 @@
       candidate,
       attempt,
       request,
+      host,
+      port: Number(port),
+      startedAt: this.settings.clock.elapsed(),
       codec,
       connection: undefined,
       hasSentBody: false,
@@ -225,40 +298,54 @@
     exchange.request.end(exchange.attempt.call.body);
   }
 
-  private startProcessingTimer(exchange: Exchange): Disposable {
-    const isRemote = exchange.candidate.region !== this.settings.region;
-    return this.settings.clock.after(
-      processingTimeout + (isRemote ? crossRegionAllowance : 0),
-      () => {
-        exchange.request.destroy(new Error('the daemon did not respond in time'));
-      },
-    );
+  /** Whether the body was not asked for and only the connection failed, so that another one may do. */
+  private isConnectionFault({ hasSentBody, hasResponded }: Exchange, error: Error): boolean {
+    if (hasSentBody || hasResponded || connectErrorOf(error) !== undefined) return false;
+    return !(error instanceof SilenceError) || error.reason === 'connection-lost';
   }
 
-  private markResponded(exchange: Exchange, processingTimer: Disposable): void {
-    exchange.hasResponded = true;
-    processingTimer.dispose();
+  /** Reports an exchange without a response, and closes the idle connections that may be lost as well. */
+  private recordFailure(exchange: Exchange, error: Error, isCancelled: boolean): void {
+    const { candidate, attempt, request, host, port, startedAt } = exchange;
+    const { monitor, log, clock } = this.settings;
+    const { daemon } = candidate;
+    if (exchange.hasResponded || isCancelled) return;
+    const isNewConnection = !request.reusedSocket;
+    const silence = error instanceof SilenceError ? error.reason : undefined;
+    const code = connectErrorOf(error);
+    if (code !== undefined) monitor.recordConnectFailure(daemon, code);
+    else if (silence === 'connection-lost') {
+      this.lostCount += 1;
+      monitor.recordLostConnection({ daemon, startedAt, isNewConnection });
+    } else if (silence === undefined) void monitor.check(daemon);
+    const closed = code === undefined ? this.agent.closeIdle(host, port, startedAt) : 0;
+    const idle = this.agent.idleTimeOf(request, startedAt);
+    log.write({
+      level: 'info',
+      kind: 'route',
+      message: error.message,
+      fields: {
+        step: 'peer.failed',
+        request: attempt.call.id,
+        home: daemon,
+        took: Math.round(clock.elapsed() - startedAt),
+        code: code ?? (error as NodeJS.ErrnoException).code,
+        idle: idle === undefined ? undefined : Math.round(idle),
+        newConnection: isNewConnection,
+        bodySent: exchange.hasSentBody,
+        closed,
+      },
+    });
   }
 
   private classify(exchange: Exchange, error: Error, isCancelled: boolean): Error {
-    const { candidate, hasResponded, hasSentBody, attempt } = exchange;
+    const { candidate, hasResponded, hasSentBody } = exchange;
     const origin = { step: 'peer.send', peer: candidate.daemon, cause: error };
-    const isUnsent =
-      !hasSentBody || ('code' in error && error.code === 'ECONNREFUSED' && !hasResponded);
-    if (isUnsent) {
-      return new HomeRefusalError(
-        isCancelled ? 'cancelled' : 'connect-failed',
-        error.message,
-        origin,
-        {
-          isUnreachable: !hasResponded && !isCancelled,
-        },
-      );
-    }
-    if (hasResponded || isCancelled || !attempt.call.route.isIdempotent) {
-      return new OutcomeUnknownError(error.message, origin);
+    if (!hasSentBody || (connectErrorOf(error) !== undefined && !hasResponded)) {
+      const reason = isCancelled ? 'cancelled' : 'connect-failed';
+      return new HomeRefusalError(reason, error.message, origin);
     }
-    return new HomeUnresponsiveError(error.message, origin);
+    return new OutcomeUnknownError(error.message, origin);
   }
 
   private async readResponse(exchange: Exchange, response: IncomingMessage): Promise<TargetAnswer> {
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -26,9 +26,11 @@
 import { FleetDirectory } from '../common/fleet/FleetDirectory.js';
 import { SharedWatchStore } from '../common/fleet/SharedWatchStore.js';
 import { PrefixWatcher } from '../common/fleet/PrefixWatcher.js';
+import { ReachabilityMonitor } from '../common/fleet/ReachabilityMonitor.js';
 import { Registration } from '../common/fleet/Registration.js';
 import { firstEpoch, positionOf, type StorePosition } from '../common/fleet/StorePosition.js';
 import { RelayedStore } from '../common/fleet/RelayedStore.js';
+import { responseTimeout } from '../common/fleet/ResponseWatch.js';
 import type { StoreMirror } from '../common/fleet/StoreMirror.js';
 import type { DaemonRecord, PolledStore, StoreSnapshot } from '../common/fleet/Types.js';
 import type { FleetRetryLimits } from '../common/retry/HomeRetryBudget.js';
@@ -41,6 +43,7 @@
 import { HomeServer } from './HomeServer.js';
 import { createRequestMetadata } from './peer/createRequestMetadata.js';
 import { newestPeerEncoding, PeerCodecs } from './peer/peerCodecs.js';
+import { probeDaemon } from './peer/probeDaemon.js';
 import { RelayHttpClient } from './peer/RelayHttpClient.js';
 import { RelayHttpServer } from './peer/RelayHttpServer.js';
 import { encodeChanges } from './peer/relayMessages.js';
@@ -129,6 +132,8 @@
 
   private readonly callerServer: CallerServer;
 
+  private readonly reachability: ReachabilityMonitor;
+
   private readonly peers: PeerHttpClient;
 
   private readonly incarnation: Incarnation;
@@ -217,6 +222,15 @@
     };
     const conditions = (): readonly ConditionReport[] => this.collectConditions();
     const codecs = new PeerCodecs(names.requestId);
+    this.reachability = this.disposables.add(
+      new ReachabilityMonitor({
+        clock,
+        log,
+        daemons: this.directory,
+        probe: ({ address, region }) =>
+          probeDaemon(address, responseTimeout(region === settings.region), clock),
+      }),
+    );
     this.peers = this.disposables.add(
       new PeerHttpClient({
         id: settings.id,
@@ -224,6 +238,8 @@
         dataCentre: settings.dataCentre,
         codecs,
         clock,
+        log,
+        monitor: this.reachability,
         onVersion,
         conditions,
         onConditions,
@@ -318,7 +334,7 @@
   private createRelayedStore(): RelayedStore {
     const { clock, log, store } = this.environment;
     const { settings, directory } = this;
-    const relays = new RelayHttpClient((daemon) => directory.addressOf(daemon));
+    const relays = new RelayHttpClient((daemon) => directory.recordOf(daemon)?.address);
     this.disposables.add(relays);
     return this.disposables.add(
       new RelayedStore({
@@ -545,6 +561,7 @@
     signal: AbortSignal,
   ): Promise<TargetAnswer> {
     const { call } = attempt;
+    this.directory.markReachable(this.settings.id);
     const receiveBody = (): Promise<Buffer> => {
       attempt.onStart();
       return Promise.resolve(call.body);
@@ -568,6 +585,8 @@
       configuration_delay_milliseconds: this.configuration.delay,
       configuration_age_milliseconds: Math.round(this.configuration.age),
       known_daemons: this.directory.size,
+      unreachable_daemons: this.reachability.excludedCount,
+      lost_peer_connections: this.peers.lostConnections,
       callers_in_flight: this.callerServer.load,
       home_in_flight: this.home.load,
       target_idle_milliseconds: Math.round(this.home.idleTime ?? 0),
--- a/src/sidecar/endlessResponses.test.ts
+++ b/src/sidecar/endlessResponses.test.ts
@@ -15,6 +15,7 @@
 import type { AttemptRequest, Candidate } from '../common/dispatch/Types.js';
 import { SystemClock } from '../node/SystemClock.js';
 import { EndlessSender } from '../testing/EndlessSender.js';
+import { createReachability } from '../testing/createReachability.js';
 import { MemoryLog } from '../testing/MemoryLog.js';
 import { RawTarget, type RawRequest } from '../testing/RawTarget.js';
 import { waitUntil } from '../testing/waitUntil.js';
@@ -340,6 +341,8 @@
       dataCentre,
       codecs,
       clock,
+      log,
+      monitor: createReachability(clock, log, []).monitor,
       onVersion: () => {},
       conditions: () => [],
       onConditions: () => {},
