Keep the connection between daemons after a request is refused

Callers saw: at an entry whose homes were busy, "socket hang up" and refusals as connect-failed instead of queue-full.

Cause: node:http closes the connection after a response to a request with `Expect: 100-continue` that comes without `100 Continue`. The entry ends such a request without a body and keeps the connection for the next one, so the close could overtake the response or meet the next request; each refusal cost a new connection, across regions too. The timer of such an exchange also fired seconds later ("did not end within its timeout") although its connection was closed.

--- a/src/sidecar/HomeServer.ts
+++ b/src/sidecar/HomeServer.ts
@@ -42,6 +42,15 @@
   'keep-alive',
 ]);
 
+/**
+ * Keeps the connection after a response that comes without `100 Continue`. node:http would close it, although the entry
+ * ends such a request without a body; the next request would need a new connection, and the close can overtake the
+ * response.
+ */
+function keepConnection(response: ServerResponse): void {
+  Object.defineProperty(response, 'shouldKeepAlive', { get: () => true, set: () => {} });
+}
+
 /** A request of another daemon and its response. */
 interface Exchange {
   readonly homeRequest: HomeRequest;
@@ -140,6 +149,7 @@
       response.end();
       return;
     }
+    if (expectsContinue) keepConnection(response);
     // Tells the entry at once that this daemon is alive, even if the response takes seconds.
     response.writeProcessing();
     const { codec, request: peerRequest } = decoded;
@@ -169,7 +179,7 @@
   private limitDuration({ homeRequest, request, response }: Exchange): void {
     const { clock, log } = this.settings;
     const timer = clock.after(homeRequest.timeout + exchangeSlack, () => {
-      if (response.writableFinished && request.complete) return;
+      if (request.socket.destroyed || (response.writableFinished && request.complete)) return;
       log.write({
         level: 'info',
         kind: 'route',
@@ -186,7 +196,7 @@
       request.socket.destroy();
     });
     response.once('close', () => {
-      if (request.complete) timer.dispose();
+      if (request.complete || request.socket.destroyed) timer.dispose();
     });
   }
 
--- a/src/sidecar/lostPeerConnections.test.ts
+++ b/src/sidecar/lostPeerConnections.test.ts
@@ -254,4 +254,17 @@
     expect(pair.isCandidate).to.equal(false);
     expect(pair.runs).to.have.length(6);
   });
+
+  it('guards against a new connection for each order that a busy home refuses', async () => {
+    await pair.send('warm', 1);
+    const { accepted } = pair.proxy;
+    pair.isFull = true;
+    for (let count = 0; count < 20; count += 1) {
+      expect(await pair.send(`full-${count}`, 1)).to.deep.equal(['not-run']);
+    }
+    pair.isFull = false;
+    expect(await pair.send('order', 1)).to.deep.equal([200]);
+    expect(pair.proxy.accepted).to.equal(accepted);
+    expect(pair.isCandidate).to.equal(true);
+  });
 });
