Let other requests use a slot while the body of its request does not arrive

Callers saw: orders refused as queue-full although the target was idle, after connections went silent on which orders were queued at its home.

Cause: each of them got a slot in turn, was asked for its body in vain and kept the slot for 2 s.

Change: a request keeps its slot for 200 ms until its body is here. Then the slot goes to others, and the request queues again with its due time once the body has arrived.

Evidence: silentConnections.test.ts "guards against an idle target while the bodies of requests do not arrive" failed before ("gave up waiting: the slot is free").

--- a/src/common/admission/SlotQueue.ts
+++ b/src/common/admission/SlotQueue.ts
@@ -32,9 +32,12 @@
   readonly retryAfter: number;
 }
 
-/** A held slot. Only the first call of `release` has an effect. */
+/** A held slot. Only the first call of either function has an effect. */
 export interface SlotPermit {
+  /** Frees the slot after the request has run. */
   release(): void;
+  /** Frees the slot of a request that has not run, so that the time in the slot does not count as work. */
+  cancel(): void;
 }
 
 /** Load of a target without its stuck requests and their slots. */
@@ -242,6 +245,9 @@
     const slot = { started: this.clock.elapsed() };
     this.usedSlots.add(slot);
     return {
+      cancel: () => {
+        if (this.usedSlots.delete(slot)) this.startNext();
+      },
       release: () => {
         if (!this.usedSlots.delete(slot)) return;
         // The time of a stuck request is not typical of the others, so it is clipped.
--- a/src/sidecar/Home.ts
+++ b/src/sidecar/Home.ts
@@ -11,7 +11,7 @@
   type RefusalReason,
   type TargetId,
 } from '../api/index.js';
-import type { SlotPermit, SlotRefusal } from '../common/admission/SlotQueue.js';
+import type { SlotPermit, SlotRefusal, SlotRequest } from '../common/admission/SlotQueue.js';
 import { RouteStatistics } from '../common/dispatch/RouteStatistics.js';
 import {
   HomeRefusalError,
@@ -44,6 +44,8 @@
  * three times by then.
  */
 const bodyIdleTimeout = 2_000;
+/** Milliseconds for which a request keeps its slot while its body arrives; some round trips between regions. */
+const bodySlotTime = 200;
 /** Milliseconds beyond the timeout of a request until its response is cut if the entry has not read it. */
 const unreadTimeout = 100;
 const firstServerError = 500;
@@ -336,14 +338,25 @@
       maxQueueWait,
       isMovable: !isForced,
     };
-    const result = await hosted.queue.submit(slotRequest, signal);
-    if (isLeft(result)) {
-      const { reason, retryAfter } = result.left;
-      throw this.refuse(hosted, refusalReasons[reason], request, retryAfter);
-    }
-    const permit = result.right;
+    let permit = await this.acquireSlot(hosted, request, slotRequest, signal);
     try {
-      const body = await this.receive(hosted, request, receiveBody, started);
+      const arrival = this.receive(hosted, request, receiveBody, started);
+      if (!(await this.settlesWithin(arrival, bodySlotTime))) {
+        // The connection may be silent, so other requests use the slot until the body is here.
+        permit.cancel();
+        await arrival;
+        const elapsed = this.settings.clock.elapsed() - started;
+        // Once the body is here, waiting for the target costs less than another transfer.
+        const remaining = request.timeout - elapsed - serviceTime;
+        const again = {
+          ...slotRequest,
+          goal: goal - elapsed,
+          maxQueueWait: Math.max(0, remaining),
+          isMovable: false,
+        };
+        permit = await this.acquireSlot(hosted, request, again, signal);
+      }
+      const body = await arrival;
       // The target may have started draining while the body was received.
       this.findTarget(request);
       if (signal.aborted) throw this.refuse(hosted, 'cancelled', request);
@@ -355,6 +368,34 @@
     }
   }
 
+  /** Waits for a slot; throws `HomeRefusalError` if there is none in time. */
+  private async acquireSlot(
+    hosted: HostedTarget,
+    request: HomeRequest,
+    slotRequest: SlotRequest,
+    signal: AbortSignal,
+  ): Promise<SlotPermit> {
+    const result = await hosted.queue.submit(slotRequest, signal);
+    if (!isLeft(result)) return result.right;
+    const { reason, retryAfter } = result.left;
+    throw this.refuse(hosted, refusalReasons[reason], request, retryAfter);
+  }
+
+  /** Whether a promise is settled within `time` milliseconds. */
+  private async settlesWithin(promise: Promise<unknown>, time: number): Promise<boolean> {
+    let timer: Disposable | undefined;
+    const expiry = new Promise<boolean>((resolve) => {
+      timer = this.settings.clock.after(time, () => resolve(false));
+    });
+    const settled = promise.then(
+      () => true,
+      () => true,
+    );
+    const result = await Promise.race([settled, expiry]);
+    timer?.dispose();
+    return result;
+  }
+
   /** Receives the body of a request that holds a slot; refuses the request if its connection goes silent. */
   private receive(
     hosted: HostedTarget,
--- a/src/sidecar/silentConnections.test.ts
+++ b/src/sidecar/silentConnections.test.ts
@@ -33,6 +33,8 @@
 const timeout = 120_000;
 /** Milliseconds without a byte after which the home must run other requests again, far below `timeout`. */
 const maxSilence = 4_000;
+/** Milliseconds after which other requests must get the slot of one whose body does not arrive. */
+const maxIdleSlot = 500;
 /** Milliseconds for which an entry that still answers is heard. */
 const trickleInterval = 1_500;
 /** Bytes that do not fit into the buffers of a connection. */
@@ -208,6 +210,23 @@
     });
   });
 
+  [1, 3].forEach((count) => {
+    it(`guards against an idle target while the bodies of ${count} requests do not arrive`, async () => {
+      const late = Array.from({ length: count }, open);
+      for (const [index, entry] of late.entries()) {
+        entry.send(head(`late-${index}`, expecting));
+        await entry.waitFor('100 Continue');
+        await clock.advanceAsync(maxIdleSlot);
+      }
+      await expectNextRequestToRun();
+      late.forEach((entry) => entry.send('3\r\nbid\r\n0\r\n\r\n'));
+      await Promise.all(late.map((entry) => entry.waitFor('xxxx')));
+      const ids = target.requests.map(({ header }) => header('id'));
+      expect(ids).to.have.members(['next', ...late.map((_, index) => `late-${index}`)]);
+      expect(ids[0]).to.equal('next');
+    });
+  });
+
   it('waits for a body that arrives slowly, until the timeout of its request', async () => {
     const entry = open();
     entry.send(head('slow', `content-length: ${timeout}\r\n`));
