Count the requests that fail with one connection as one failure of its path

Callers saw nothing of it in a test: all requests between two daemons share one connection, and when it is lost, each of them counted against the path, so that one event kept the targets behind it at the lowest preference (an added wait of 1 s) for most of a minute.

Cause: PathTracker counted each failed request as evidence of its own. Requests that began before the last counted failure now belong to it; requests to a daemon that is gone still count one by one, since each begins after the failure before it.

--- a/src/common/health/PathTracker.test.ts
+++ b/src/common/health/PathTracker.test.ts
@@ -33,4 +33,14 @@
       expect(tracker.preference(other, wait)).to.equal(1);
     });
   });
+
+  it('guards against a lost connection that counts as often as it carried requests', () => {
+    const one = new PathTracker();
+    const many = new PathTracker();
+    one.record(home, 'reset', 1_000, 900);
+    for (let index = 0; index < 40; index += 1) many.record(home, 'reset', 1_000 + index, 900);
+    expect(many.preference(home, 2_000)).to.equal(one.preference(home, 2_000));
+    many.record(home, 'reset', 3_000, 2_900);
+    expect(many.preference(home, 3_000)).to.be.below(one.preference(home, 3_000));
+  });
 });
--- a/src/common/health/PathTracker.ts
+++ b/src/common/health/PathTracker.ts
@@ -19,9 +19,17 @@
 export class PathTracker {
   private readonly paths = new Map<DaemonId, SequentialTest>();
 
-  /** Records the outcome of one request at `now` (monotonic milliseconds). */
-  public record(home: DaemonId, outcome: PathOutcome, now: number): void {
+  /** Times of the last failures that were counted. */
+  private readonly failedAt = new Map<DaemonId, number>();
+
+  /**
+   * Records the outcome of one request that began at `startedAt` and ended at `now` (monotonic milliseconds). All requests
+   * on a connection fail with it, so failures of requests that began before the last failure count as the same event.
+   */
+  public record(home: DaemonId, outcome: PathOutcome, now: number, startedAt = now): void {
     const isBad = outcome !== 'reached';
+    if (isBad && startedAt < (this.failedAt.get(home) ?? -Infinity)) return;
+    if (isBad) this.failedAt.set(home, now);
     let path = this.paths.get(home);
     if (path === undefined) {
       // Most paths never fail, so a path is tracked from its first failure on.
@@ -30,7 +38,7 @@
       this.paths.set(home, path);
     }
     path.add(isBad, now);
-    if (path.score(now) === 0) this.paths.delete(home);
+    if (path.score(now) === 0) this.forget(home);
   }
 
   /** Weight in (0, 1] for targets of this home. */
@@ -42,5 +50,6 @@
   /** Removes a home that has left the fleet. */
   public forget(home: DaemonId): void {
     this.paths.delete(home);
+    this.failedAt.delete(home);
   }
 }
--- a/src/daemon/ObservedHome.ts
+++ b/src/daemon/ObservedHome.ts
@@ -25,21 +25,22 @@
   ) {}
 
   public async forward(request: ForwardRequest, signal: AbortSignal): Promise<ForwardAnswer> {
+    const startedAt = this.observation.clock.elapsed();
     try {
       const answer = await this.home.forward(request, signal);
-      this.record('reached');
+      this.record('reached', startedAt);
       return answer;
     } catch (error) {
       const step = error instanceof Error && 'step' in error ? String(error.step) : '';
-      if (remoteErrorSteps.has(step)) this.record('reached');
+      if (remoteErrorSteps.has(step)) this.record('reached', startedAt);
       // A cancelled request is no evidence about the path: the target may have been slow.
-      else if (!signal.aborted) this.record(classify(error));
+      else if (!signal.aborted) this.record(classify(error), startedAt);
       throw error;
     }
   }
 
-  private record(outcome: PathOutcome): void {
+  private record(outcome: PathOutcome, startedAt: number): void {
     const { paths, daemon, clock } = this.observation;
-    paths.record(daemon, outcome, clock.elapsed());
+    paths.record(daemon, outcome, clock.elapsed(), startedAt);
   }
 }
