Measure what it costs to tell lost connections from lost daemons

`npm run bench -- reachability`: one entry and three daemons on the virtual clock, the directory, monitor and watch of the product against a backoff for each failed exchange, which the code before had.

--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -10,6 +10,7 @@
 import { agreement, membership } from './scenarios/membership.js';
 import { operations } from './scenarios/operations.js';
 import { quotas } from './scenarios/quotas.js';
+import { reachability } from './scenarios/reachability.js';
 import { retries } from './scenarios/retries.js';
 import type { Scenario } from './Types.js';
 
@@ -28,5 +29,6 @@
   detection,
   falseEjection,
   quotas,
+  reachability,
   decisionCost,
 ];
