Check a daemon again whose check failed after a response

Cause: a failed check does not count if a response arrived while it ran. If the daemon had been left out meanwhile, because a later exchange reached its timeout before the check failed, nothing scheduled the next check.

Evidence: ReachabilityMonitor.test.ts "guards against a daemon that is never checked again" failed before (the daemon is no candidate 5 s after it responds again).

--- a/src/common/fleet/ReachabilityMonitor.test.ts
+++ b/src/common/fleet/ReachabilityMonitor.test.ts
@@ -208,6 +208,22 @@
     expect(exclusions).to.deep.equal([0, 500, 1_000, 2_000, 4_000, 4_000]);
   });
 
+  it('guards against a daemon that is never checked again because it responded during the check that failed', async () => {
+    const peer = new Peer();
+    peer.isUp = false;
+    // The first exchange starts the check, the second one is excluded by its timeout before the check has failed.
+    peer.startSilent(1);
+    await peer.clock.advanceAsync(150);
+    peer.startSilent(1);
+    await peer.clock.advanceAsync(100);
+    peer.monitor.recordResponse(daemon, 0);
+    await peer.clock.advanceAsync(2 * probeTimeout);
+    expect(peer.isCandidate).to.equal(false);
+    peer.isUp = true;
+    await peer.clock.advanceAsync(5_000);
+    expect(peer.isCandidate).to.equal(true);
+  });
+
   it('uses a daemon at once that responds to an exchange or has restarted', async () => {
     const events = [
       (peer: Peer) => peer.monitor.recordResponse(daemon, peer.clock.elapsed()),
--- a/src/common/fleet/ReachabilityMonitor.ts
+++ b/src/common/fleet/ReachabilityMonitor.ts
@@ -218,7 +218,9 @@
       state.check?.settle(false);
       this.closeState(daemon, state);
     } else if (failure === undefined) this.endCheck(daemon, state, startedAt);
-    else if (state.respondedAt < startedAt) this.failCheck(daemon, state, failure);
+    else if (state.isExcluded || state.respondedAt < startedAt) {
+      this.failCheck(daemon, state, failure);
+    }
     // A response that arrived during the check outweighs its failure.
     else if (state.check !== undefined) void this.probe(daemon, state);
   }
